--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/admission.py
@@ -0,0 +1,252 @@
+"""Admit work to the slots of one database, ordered by deadline."""
+
+import heapq
+from collections import deque
+from enum import IntEnum
+from typing import NamedTuple
+
+DEFAULT_SERVICE_TIME_MS = 5.0
+SERVICE_TIME_WEIGHT = 0.05
+MIN_RETRY_AFTER_MS = 50
+MAX_CONSECUTIVE_SAVES = 3
+
+
+class WorkClass(IntEnum):
+    """Kind of work that shares the slots."""
+
+    READ = 0
+    SAVE = 1
+
+
+class Ticket(NamedTuple):
+    """One statement that asks for a slot.
+
+    Parameters
+    ----------
+    ticket_id : int
+        Unique within the queue.
+    work_class : WorkClass
+        Read or save.
+    deadline_ms : int
+        When the caller gives up, on the node's own clock.
+    """
+
+    ticket_id: int
+    work_class: WorkClass
+    deadline_ms: int
+
+
+class Admitted(NamedTuple):
+    """The ticket holds a slot and may run now."""
+
+    ticket: Ticket
+
+
+class Refused(NamedTuple):
+    """The ticket did not run and will not.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The ticket.
+    retry_after_ms : int
+        When the backlog ahead of it should have drained.
+    reason : str
+        Why, for the caller and the log.
+    """
+
+    ticket: Ticket
+    retry_after_ms: int
+    reason: str
+
+
+class Queued(NamedTuple):
+    """The ticket waits for a slot."""
+
+    ticket: Ticket
+
+
+class _ClassQueue:
+    """Tickets of one work class, earliest deadline first."""
+
+    def __init__(self):
+        self._heap = []
+        self._gone = set()
+        self._live = {}
+
+    def __len__(self):
+        return len(self._live)
+
+    def push(self, ticket):
+        heapq.heappush(self._heap, (ticket.deadline_ms, ticket.ticket_id, ticket))
+        self._live[ticket.ticket_id] = ticket
+
+    def discard(self, ticket_id):
+        return self._live.pop(ticket_id, None) is not None
+
+    def peek(self):
+        while self._heap and self._heap[0][2].ticket_id not in self._live:
+            heapq.heappop(self._heap)
+        return self._heap[0][2] if self._heap else None
+
+    def pop(self):
+        ticket = self.peek()
+        if ticket is not None:
+            heapq.heappop(self._heap)
+            del self._live[ticket.ticket_id]
+        return ticket
+
+    def count_before(self, deadline_ms):
+        """Return how many live tickets have an earlier deadline."""
+        return sum(t.deadline_ms <= deadline_ms for t in self._live.values())
+
+
+class AdmissionQueue:
+    """Bounded queue in front of the slots of one database.
+
+    Saves and reads have a queue each. A free slot goes to a save first, and to a
+    read after `MAX_CONSECUTIVE_SAVES` saves in a row, so that neither starves.
+
+    Parameters
+    ----------
+    slots : int
+        Statements that the database runs side by side.
+    max_queued : int
+        Tickets that may wait, both classes together.
+
+    Notes
+    -----
+    The queue refuses a ticket that cannot start in time, by the measured service
+    time, when it arrives and not when its deadline passes.
+    """
+
+    def __init__(self, slots, max_queued):
+        self._slots = slots
+        self._max_queued = max_queued
+        self._queues = {work_class: _ClassQueue() for work_class in WorkClass}
+        self._running = set()
+        self._consecutive_saves = 0
+        self._service_time_ms = DEFAULT_SERVICE_TIME_MS
+        self._next_id = 1
+        self.refused_total = 0
+
+    @property
+    def queued(self):
+        """Return how many tickets wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    @property
+    def running(self):
+        """Return how many tickets hold a slot."""
+        return len(self._running)
+
+    @property
+    def service_time_ms(self):
+        """Return the smoothed time that a statement holds a slot."""
+        return self._service_time_ms
+
+    @property
+    def slots(self):
+        """Return how many slots the database has."""
+        return self._slots
+
+    def offer(self, work_class, deadline_ms, now_ms):
+        """Take in a statement.
+
+        Parameters
+        ----------
+        work_class : WorkClass
+            Read or save.
+        deadline_ms : int
+            When its caller gives up.
+        now_ms : int
+            Time of arrival on the same clock.
+
+        Returns
+        -------
+        Admitted, Queued or Refused
+        """
+        ticket = Ticket(self._next_id, work_class, deadline_ms)
+        self._next_id += 1
+        if len(self._running) < self._slots and not self.queued:
+            return self._admit(ticket)
+        wait_ms = self._expected_wait_ms(ticket)
+        if self.queued >= self._max_queued:
+            return self._refuse(ticket, wait_ms, "the queue is full")
+        if now_ms + wait_ms + self._service_time_ms > deadline_ms:
+            return self._refuse(ticket, wait_ms, "it cannot start before its deadline")
+        self._queues[work_class].push(ticket)
+        return Queued(ticket)
+
+    def finish(self, ticket, held_ms, now_ms):
+        """Give a slot back and hand it to whoever is next.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The ticket that held the slot.
+        held_ms : float or None
+            How long; None leaves the smoothed service time as it is.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        list of Admitted or Refused
+        """
+        self._running.discard(ticket.ticket_id)
+        if held_ms is not None:
+            change_ms = held_ms - self._service_time_ms
+            self._service_time_ms += SERVICE_TIME_WEIGHT * change_ms
+        return self._fill(now_ms)
+
+    def withdraw(self, ticket):
+        """Drop a waiting ticket whose caller has gone.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The ticket.
+
+        Returns
+        -------
+        bool
+            Whether it still waited.
+        """
+        return self._queues[ticket.work_class].discard(ticket.ticket_id)
+
+    def _fill(self, now_ms):
+        decisions = deque()
+        while len(self._running) < self._slots:
+            ticket = self._pop_next()
+            if ticket is None:
+                break
+            if ticket.deadline_ms <= now_ms:
+                decisions.append(self._refuse(ticket, 0, "its deadline has passed"))
+                continue
+            decisions.append(self._admit(ticket))
+        return list(decisions)
+
+    def _pop_next(self):
+        reads = self._queues[WorkClass.READ]
+        saves = self._queues[WorkClass.SAVE]
+        is_turn_of_reads = self._consecutive_saves >= MAX_CONSECUTIVE_SAVES
+        if len(saves) and not (len(reads) and is_turn_of_reads):
+            return saves.pop()
+        return reads.pop()
+
+    def _admit(self, ticket):
+        is_save = ticket.work_class is WorkClass.SAVE
+        self._consecutive_saves = self._consecutive_saves + 1 if is_save else 0
+        self._running.add(ticket.ticket_id)
+        return Admitted(ticket)
+
+    def _refuse(self, ticket, wait_ms, reason):
+        self.refused_total += 1
+        return Refused(ticket, max(MIN_RETRY_AFTER_MS, int(wait_ms)), reason)
+
+    def _expected_wait_ms(self, ticket):
+        ahead = self._queues[ticket.work_class].count_before(ticket.deadline_ms)
+        if ticket.work_class is WorkClass.READ:
+            ahead += len(self._queues[WorkClass.SAVE])
+        return (ahead + 1) * self._service_time_ms / self._slots
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/failover.py
@@ -0,0 +1,488 @@
+"""Drive a change of primary, from evidence to a published new primary.
+
+The machine takes events and returns actions. One conditional update of the group
+object decides who drives a term. A majority of the copies is fenced before the most
+advanced of them is promoted, and the result is published by a second conditional
+update. Any node can take over a half-done change by claiming the next term.
+"""
+
+from enum import Enum
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from bronzescale_core.acknowledgement import CopyReport
+from bronzescale_core.detection import Verdict
+from bronzescale_core.groups import GroupState, Phase, majority
+from bronzescale_core.positions import TermStart, add_term_start
+
+RANK_DELAY_MS = 400
+EVIDENCE_TIMEOUT_MS = 800
+STORE_TIMEOUT_MS = 1_500
+FENCE_TIMEOUT_MS = 1_500
+PROMOTE_TIMEOUT_MS = 1_500
+TAKEOVER_AFTER_MS = 2_500
+RETRY_AFTER_MS = 300
+PLANNED_DRAIN_MS = 600
+CATCH_UP_TIMEOUT_MS = 3_000
+
+
+class Step(Enum):
+    """Where a machine stands."""
+
+    IDLE = "idle"
+    EVIDENCE = "evidence"
+    CLAIM = "claim"
+    DRAIN = "drain"
+    CATCH_UP = "catch_up"
+    FENCE = "fence"
+    PROMOTE = "promote"
+    PUBLISH = "publish"
+
+
+class PrimaryFinding(NamedTuple):
+    """Event: this node's own verdict on the primary."""
+
+    verdict: Verdict
+    reason: str
+
+
+class EvidenceReceived(NamedTuple):
+    """Event: another node's verdict on the primary of a term."""
+
+    node: str
+    zone: str
+    term: int
+    verdict: Verdict
+
+
+class GroupObserved(NamedTuple):
+    """Event: a version of the group object was learned."""
+
+    state: GroupState
+
+
+class ClaimWritten(NamedTuple):
+    """Event: a conditional update took effect at a version."""
+
+    nonce: str
+    version: int
+
+
+class ClaimFailed(NamedTuple):
+    """Event: a conditional update did not take effect, or nobody knows."""
+
+    nonce: str
+    reason: str
+
+
+class CopyFenced(NamedTuple):
+    """Event: a copy promised the term and reported its log."""
+
+    report: CopyReport
+
+
+class CopyPromoted(NamedTuple):
+    """Event: the chosen copy began the term."""
+
+    report: CopyReport
+    term_start: int
+
+
+class CopyFailed(NamedTuple):
+    """Event: an order to a copy failed."""
+
+    upstream: str
+    term: int
+    reason: str
+
+
+class CopyCaughtUp(NamedTuple):
+    """Event: a copy holds the log up to the awaited offset."""
+
+    upstream: str
+    term: int
+
+
+class PlannedChange(NamedTuple):
+    """Event: an operator asks for a copy to become the primary."""
+
+    upstream: str
+    reason: str
+
+
+class Tick(NamedTuple):
+    """Event: time passed."""
+
+
+class AskEvidence(NamedTuple):
+    """Action: ask the other watchers what they see."""
+
+    service: str
+    term: int
+
+
+class WriteGroup(NamedTuple):
+    """Action: update the group object if it is still at ``if_version``."""
+
+    state: GroupState
+    if_version: int
+
+
+class FenceCopy(NamedTuple):
+    """Action: make a copy promise a term."""
+
+    upstream: str
+    term: int
+
+
+class AwaitCopy(NamedTuple):
+    """Action: wait until a copy, not yet fenced, holds the log up to an offset."""
+
+    upstream: str
+    term: int
+    offset: int
+
+
+class PromoteCopy(NamedTuple):
+    """Action: make a fenced copy the primary of a term."""
+
+    upstream: str
+    term: int
+
+
+class FollowCopy(NamedTuple):
+    """Action: make a copy replicate from the primary of a term."""
+
+    upstream: str
+    term: int
+    primary: str
+
+
+class PublishGroup(NamedTuple):
+    """Action: tell the other nodes about the new state at once."""
+
+    state: GroupState
+
+
+class NoteStep(NamedTuple):
+    """Action: keep a step in the log and the dump."""
+
+    service: str
+    step: Step
+    text: str
+
+
+class FailoverMachine:
+    """Change of primary of one group, as seen by one watcher.
+
+    Parameters
+    ----------
+    state : GroupState
+        The newest known state.
+    upstreams : tuple of str
+        Names of the group's databases.
+    node : str
+        Name of this node.
+    zone : str
+        Availability zone of this node.
+    new_nonce : callable
+        Return a fresh nonce; comes from a seeded generator in tests.
+    """
+
+    def __init__(self, state, upstreams, node, zone, new_nonce):
+        self._state = state
+        self._upstreams = upstreams
+        self._node = node
+        self._zone = zone
+        self._new_nonce = new_nonce
+        self._rank = 0
+        self._reset(0)
+        self._verdict = Verdict.ALIVE
+        self._reason = ""
+        self._observed_at_ms = 0
+        self.history = []
+
+    def _reset(self, retry_at_ms):
+        self.step = Step.IDLE
+        self._deadline_ms = 0
+        self._retry_at_ms = retry_at_ms
+        self._claim = None
+        self._published = None
+        self._reports = {}
+        self._planned = ""
+        self._is_evidence_asked = False
+
+    @property
+    def state(self):
+        """Return the newest known group state."""
+        return self._state
+
+    def set_rank(self, rank):
+        """Set this node's place among the group's watchers.
+
+        Parameters
+        ----------
+        rank : int
+            0 acts first; each next one waits `RANK_DELAY_MS` longer.
+        """
+        self._rank = rank
+
+    def set_upstreams(self, upstreams):
+        """Replace the names of the group's databases.
+
+        Parameters
+        ----------
+        upstreams : tuple of str
+            The names.
+        """
+        self._upstreams = upstreams
+
+    def handle(self, event, now_ms):
+        """Take one event.
+
+        Parameters
+        ----------
+        event : NamedTuple
+            One of the events of this module.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        list of NamedTuple
+            Actions to carry out, in order.
+        """
+        actions = []
+        self._on(event, now_ms, actions)
+        return actions
+
+    @singledispatchmethod
+    def _on(self, event, now_ms, actions):
+        raise TypeError(f"no handler for event {type(event).__name__}")
+
+    @_on.register
+    def _(self, event: PrimaryFinding, now_ms, actions):
+        self._verdict = event.verdict
+        self._reason = event.reason
+        if event.verdict is Verdict.DOWN and self.step is Step.IDLE:
+            self._gather_evidence(now_ms, actions)
+        elif event.verdict is Verdict.ALIVE and self.step is Step.EVIDENCE:
+            self._note(actions, "the primary answers again")
+            self._reset(now_ms)
+
+    @_on.register
+    def _(self, event: EvidenceReceived, now_ms, actions):
+        is_awaited = self.step is Step.EVIDENCE and event.term == self._state.term
+        if not is_awaited or event.zone == self._zone:
+            return
+        if event.verdict is Verdict.ALIVE:
+            return
+        text = f"{event.node} in {event.zone} holds the primary {event.verdict.value}"
+        self._note(actions, text)
+        self._begin_claim(now_ms, actions)
+
+    @_on.register
+    def _(self, event: GroupObserved, now_ms, actions):
+        if event.state.version <= self._state.version:
+            return
+        is_own = self._claim is not None and event.state.nonce == self._claim.nonce
+        is_own_result = (
+            self._published is not None and event.state.nonce == self._published.nonce
+        )
+        self._state = event.state
+        self._observed_at_ms = now_ms
+        if is_own and self.step is Step.CLAIM:
+            self._after_claim(now_ms, actions)
+        elif is_own_result:
+            self._finish(now_ms, actions)
+        elif not is_own and self.step is not Step.IDLE:
+            text = f"{event.state.writer} wrote term {event.state.term} first"
+            self._note(actions, text)
+            self._reset(now_ms)
+
+    @_on.register
+    def _(self, event: ClaimWritten, now_ms, actions):
+        if self.step is Step.CLAIM and event.nonce == self._claim.nonce:
+            self._state = self._claim._replace(version=event.version)
+            self._observed_at_ms = now_ms
+            self._after_claim(now_ms, actions)
+        elif self.step is Step.PUBLISH and event.nonce == self._published.nonce:
+            self._state = self._published._replace(version=event.version)
+            self._finish(now_ms, actions)
+
+    @_on.register
+    def _(self, event: ClaimFailed, now_ms, actions):
+        nonces = [s.nonce for s in (self._claim, self._published) if s is not None]
+        if event.nonce in nonces:
+            self._abort(now_ms, actions, f"the store did not take it: {event.reason}")
+
+    @_on.register
+    def _(self, event: CopyFenced, now_ms, actions):
+        if event.report.promised_term > self._state.term:
+            text = f"{event.report.upstream} promised term {event.report.promised_term}"
+            self._abort(now_ms, actions, text)
+            return
+        if self.step is Step.CATCH_UP:
+            offset = event.report.received
+            self._note(actions, f"waiting for {self._planned} to hold offset {offset}")
+            actions.append(AwaitCopy(self._planned, self._state.term, offset))
+        elif self.step is Step.FENCE:
+            self._reports[event.report.upstream] = event.report
+            self._check_majority(now_ms, actions)
+
+    @_on.register
+    def _(self, event: CopyCaughtUp, now_ms, actions):
+        if self.step is Step.CATCH_UP and event.term == self._state.term:
+            self._begin_fence(now_ms, actions)
+
+    @_on.register
+    def _(self, event: CopyPromoted, now_ms, actions):
+        if self.step is not Step.PROMOTE:
+            return
+        start = TermStart(self._state.term, event.term_start)
+        self._published = self._state._replace(
+            primary=event.report.upstream,
+            phase=Phase.ACTIVE,
+            nonce=self._new_nonce(),
+            planned_primary="",
+            term_starts=add_term_start(self._state.term_starts, start),
+        )
+        self._enter(Step.PUBLISH, now_ms + STORE_TIMEOUT_MS)
+        text = f"{event.report.upstream} began term {start.term} at {start.offset}"
+        self._note(actions, text)
+        actions.append(WriteGroup(self._published, self._state.version))
+        actions.extend(
+            FollowCopy(name, start.term, event.report.upstream)
+            for name in self._upstreams
+            if name != event.report.upstream
+        )
+
+    @_on.register
+    def _(self, event: CopyFailed, now_ms, actions):
+        if event.term != self._state.term:
+            return
+        if self.step in (Step.PROMOTE, Step.CATCH_UP):
+            text = f"order to {event.upstream} failed: {event.reason}"
+            self._abort(now_ms, actions, text)
+
+    @_on.register
+    def _(self, event: PlannedChange, now_ms, actions):
+        if self.step is not Step.IDLE or event.upstream == self._state.primary:
+            return
+        self._planned = event.upstream
+        self._reason = event.reason
+        self._begin_claim(now_ms, actions)
+
+    @_on.register
+    def _(self, event: Tick, now_ms, actions):
+        if self.step is Step.IDLE:
+            self._tick_idle(now_ms, actions)
+        elif now_ms >= self._deadline_ms:
+            self._tick_late(now_ms, actions)
+
+    def _tick_idle(self, now_ms, actions):
+        if now_ms < self._retry_at_ms:
+            return
+        if self._state.phase is Phase.FENCING:
+            patience_ms = TAKEOVER_AFTER_MS + self._rank * RANK_DELAY_MS
+            if now_ms - self._observed_at_ms >= patience_ms:
+                self._reason = f"{self._state.writer} left term {self._state.term} open"
+                self._begin_claim(now_ms, actions)
+        elif self._verdict is Verdict.DOWN:
+            self._gather_evidence(now_ms, actions)
+
+    def _tick_late(self, now_ms, actions):
+        if self.step is Step.DRAIN:
+            self._begin_catch_up(now_ms, actions)
+        elif self.step is Step.EVIDENCE:
+            if not self._is_evidence_asked:
+                self._ask_evidence(now_ms, actions)
+            else:
+                self._abort(now_ms, actions, "no second zone confirms")
+        else:
+            self._abort(now_ms, actions, f"{self.step.value} took too long")
+
+    def _gather_evidence(self, now_ms, actions):
+        if now_ms < self._retry_at_ms or self._state.phase is Phase.FENCING:
+            return
+        self._note(actions, f"primary {self._state.primary} down: {self._reason}")
+        self._is_evidence_asked = False
+        self._enter(Step.EVIDENCE, now_ms + self._rank * RANK_DELAY_MS)
+        if self._rank == 0:
+            self._ask_evidence(now_ms, actions)
+
+    def _ask_evidence(self, now_ms, actions):
+        self._is_evidence_asked = True
+        self._enter(Step.EVIDENCE, now_ms + EVIDENCE_TIMEOUT_MS)
+        actions.append(AskEvidence(self._state.service, self._state.term))
+
+    def _begin_claim(self, now_ms, actions):
+        self._claim = self._state._replace(
+            term=self._state.term + 1,
+            phase=Phase.FENCING,
+            writer=self._node,
+            nonce=self._new_nonce(),
+            reason=self._reason,
+            planned_primary=self._planned,
+        )
+        self._enter(Step.CLAIM, now_ms + STORE_TIMEOUT_MS)
+        self._note(actions, f"claiming term {self._claim.term}: {self._reason}")
+        actions.append(WriteGroup(self._claim, self._state.version))
+
+    def _after_claim(self, now_ms, actions):
+        if self._planned:
+            self._enter(Step.DRAIN, now_ms + PLANNED_DRAIN_MS)
+            self._note(actions, f"draining {self._state.primary}")
+            actions.append(PublishGroup(self._state))
+            return
+        self._begin_fence(now_ms, actions)
+
+    def _begin_catch_up(self, now_ms, actions):
+        self._reports = {}
+        self._enter(Step.CATCH_UP, now_ms + CATCH_UP_TIMEOUT_MS)
+        self._note(actions, f"{self._planned} catches up with {self._state.primary}")
+        actions.append(FenceCopy(self._state.primary, self._state.term))
+
+    def _begin_fence(self, now_ms, actions):
+        self._reports = {}
+        self._enter(Step.FENCE, now_ms + FENCE_TIMEOUT_MS)
+        self._note(actions, f"fencing {len(self._upstreams)} copies")
+        actions.extend(FenceCopy(name, self._state.term) for name in self._upstreams)
+
+    def _check_majority(self, now_ms, actions):
+        if len(self._reports) < majority(len(self._upstreams)):
+            return
+        if self._planned and self._planned not in self._reports:
+            return
+        chosen = self._most_advanced()
+        self._enter(Step.PROMOTE, now_ms + PROMOTE_TIMEOUT_MS)
+        text = f"promoting {chosen.upstream} at {chosen.log_term}:{chosen.received}"
+        self._note(actions, text)
+        actions.append(PromoteCopy(chosen.upstream, self._state.term))
+
+    def _most_advanced(self):
+        def advance(report):
+            is_planned = report.upstream == self._planned
+            return report.log_term, report.received, is_planned, report.upstream
+
+        return max(self._reports.values(), key=advance)
+
+    def _finish(self, now_ms, actions):
+        state = self._state
+        self._note(actions, f"{state.primary} leads term {state.term}")
+        self._reset(now_ms + RETRY_AFTER_MS)
+        self._verdict = Verdict.ALIVE
+        actions.append(PublishGroup(state))
+
+    def _abort(self, now_ms, actions, reason):
+        self._note(actions, reason)
+        self._reset(now_ms + RETRY_AFTER_MS + self._rank * RANK_DELAY_MS)
+
+    def _enter(self, step, deadline_ms):
+        self.step = step
+        self._deadline_ms = deadline_ms
+
+    def _note(self, actions, text):
+        note = NoteStep(self._state.service, self.step, text)
+        self.history = [*self.history[-31:], note]
+        actions.append(note)
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/positions.py
@@ -0,0 +1,169 @@
+"""Compare log positions across terms and carry them in session tokens."""
+
+from typing import NamedTuple
+
+from bronzescale_core.exceptions import InvalidTokenError
+
+TOKEN_PREFIX = "bz1"
+MAX_TERM_STARTS = 16
+
+
+class Position(NamedTuple):
+    """A place in the log of a database group.
+
+    Parameters
+    ----------
+    term : int
+        Term of the primary that wrote the entry.
+    offset : int
+        Count of log entries up to and including this one; it never restarts.
+    """
+
+    term: int
+    offset: int
+
+
+class TermStart(NamedTuple):
+    """The last offset that a term inherited from its predecessors.
+
+    Parameters
+    ----------
+    term : int
+        The term that began.
+    offset : int
+        Every earlier entry that survived has at most this offset.
+    """
+
+    term: int
+    offset: int
+
+
+class SessionToken(NamedTuple):
+    """What a session must be able to see, carried by the caller.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service that the session used.
+    position : Position
+        The newest position that was acknowledged to the session.
+    """
+
+    service: str
+    position: Position
+
+
+ORIGIN = Position(0, 0)
+
+
+def required_offset(floor, current_term, term_starts):
+    """Return the offset that a copy of the current term must have applied.
+
+    Parameters
+    ----------
+    floor : Position
+        Position that the session needs.
+    current_term : int
+        Term of the copy's log.
+    term_starts : sequence of TermStart
+        Known beginnings of terms, oldest first.
+
+    Returns
+    -------
+    int or None
+        The offset, or None when the copy's term is too old to tell.
+
+    Notes
+    -----
+    Entries of an earlier term past the start of its successor did not survive.
+    They were never acknowledged, so the floor is capped at that start.
+    """
+    if current_term < floor.term:
+        return None
+    offset = floor.offset
+    for start in term_starts:
+        if floor.term < start.term <= current_term:
+            offset = min(offset, start.offset)
+    return offset
+
+
+def covers(applied, floor, term_starts):
+    """Tell whether a copy at ``applied`` shows everything up to ``floor``.
+
+    Parameters
+    ----------
+    applied : Position
+        Term of the copy's log and the last offset it applied.
+    floor : Position
+        Position that the session needs.
+    term_starts : sequence of TermStart
+        Known beginnings of terms, oldest first.
+
+    Returns
+    -------
+    bool
+    """
+    offset = required_offset(floor, applied.term, term_starts)
+    return offset is not None and applied.offset >= offset
+
+
+def add_term_start(term_starts, start):
+    """Return the term starts with one more, oldest dropped past the bound.
+
+    Parameters
+    ----------
+    term_starts : sequence of TermStart
+        Known beginnings, oldest first.
+    start : TermStart
+        The beginning to add.
+
+    Returns
+    -------
+    tuple of TermStart
+    """
+    kept = [known for known in term_starts if known.term < start.term]
+    return tuple([*kept, start][-MAX_TERM_STARTS:])
+
+
+def render_token(token):
+    """Return the text form of a session token.
+
+    Parameters
+    ----------
+    token : SessionToken
+        The token.
+
+    Returns
+    -------
+    str
+        ``bz1:SERVICE:TERM:OFFSET``.
+    """
+    position = token.position
+    return f"{TOKEN_PREFIX}:{token.service}:{position.term}:{position.offset}"
+
+
+def parse_token(text):
+    """Read a session token.
+
+    Parameters
+    ----------
+    text : str
+        ``bz1:SERVICE:TERM:OFFSET``.
+
+    Returns
+    -------
+    SessionToken
+
+    Raises
+    ------
+    InvalidTokenError
+        If the text is no token.
+    """
+    parts = text.split(":")
+    is_shaped = len(parts) == 4 and parts[0] == TOKEN_PREFIX and parts[1]
+    if not is_shaped or not (parts[2].isdecimal() and parts[3].isdecimal()):
+        raise InvalidTokenError(
+            f"{text[:80]!r} is not a session token; pass the value of "
+            "@bronzescale_token unchanged, or an empty string for a new session"
+        )
+    return SessionToken(parts[1], Position(int(parts[2]), int(parts[3])))
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/rendezvous.py
@@ -0,0 +1,74 @@
+"""Rank nodes for a task by rendezvous hash, nearest place first."""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+
+class Node(NamedTuple):
+    """A proxy process as other processes know it.
+
+    Parameters
+    ----------
+    name : str
+        Unique within the fleet; a restarted process takes a new incarnation.
+    address : str
+        IP number and port of its peer listener.
+    zone : str
+        Availability zone of the host.
+    region : str
+        Region of the availability zone.
+    incarnation : int
+        Start time in ms since 1970; a later one replaces an earlier one.
+    admin_address : str
+        IP number and port of its HTTP listener.
+    """
+
+    name: str
+    address: str
+    zone: str
+    region: str
+    incarnation: int = 0
+    admin_address: str = ""
+
+
+def score(key, name):
+    """Return the rendezvous weight of a node for a key.
+
+    Parameters
+    ----------
+    key : str
+        The task, such as the name of a database.
+    name : str
+        The node.
+
+    Returns
+    -------
+    int
+    """
+    digest = blake2b(f"{key}\x00{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rank_nodes(key, nodes, zone="", region=""):
+    """Order nodes for a task.
+
+    Parameters
+    ----------
+    key : str
+        The task.
+    nodes : iterable of Node
+        Who is alive.
+    zone, region : str
+        Where the task is; nodes of the zone come first, then of the region.
+
+    Returns
+    -------
+    list of Node
+        Best first; the same on every process that knows the same nodes.
+    """
+
+    def sort_key(node):
+        distance = 0 if node.zone == zone else 1 if node.region == region else 2
+        return distance, -score(key, node.name), node.name
+
+    return sorted(nodes, key=sort_key)
--- /dev/null
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -0,0 +1,140 @@
+// Messages between bronzescale proxies. Each frame holds one Envelope.
+// Regenerate with: make thrift
+
+struct WireNode {
+  1: string name,
+  2: string address,
+  3: string zone,
+  4: string region,
+  5: i64 incarnation,
+  6: string admin_address,
+}
+
+struct WireRumor {
+  1: WireNode node,
+  2: i32 status,
+}
+
+struct WireHeartbeat {
+  1: WireNode node,
+  2: i32 status,
+  3: i64 revision,
+  4: list<WireRumor> rumors,
+}
+
+struct WirePosition {
+  1: i64 term,
+  2: i64 offset,
+}
+
+struct WireStatement {
+  1: string service_name,
+  2: string upstream,
+  3: string sql,
+  4: string kind,
+  5: string mode,
+  6: i64 max_age_ms,
+  7: WirePosition floor,
+  8: i64 remaining_ms,
+  9: i64 wait_ms,
+  10: i64 transaction_id,
+  11: string request_key,
+}
+
+struct WireEnd {
+  1: i64 affected_rows,
+  2: i64 insert_id,
+  3: i32 warnings,
+  4: WirePosition position,
+  5: string upstream,
+  6: bool is_replica,
+  7: i64 transaction_id,
+}
+
+struct WirePart {
+  1: list<binary> columns,
+  2: list<binary> rows,
+  3: optional WireEnd end,
+}
+
+struct WireFailure {
+  1: string kind,
+  2: string message,
+  3: i32 code,
+  4: string sqlstate,
+  5: i64 retry_after_ms,
+  6: string progress,
+}
+
+struct WireCredit {
+  1: i32 parts,
+}
+
+struct WireCancel {
+  1: bool is_caller_gone,
+}
+
+struct WireEndTransaction {
+  1: string upstream,
+  2: i64 transaction_id,
+}
+
+struct WireHeadRequest {
+  1: string service_name,
+  2: i64 remaining_ms,
+}
+
+struct WireHeadReply {
+  1: optional WirePosition position,
+  2: string reason,
+}
+
+struct WireEvidenceRequest {
+  1: string service_name,
+  2: i64 term,
+}
+
+struct WireEvidenceReply {
+  1: string node,
+  2: string zone,
+  3: i64 term,
+  4: string verdict,
+}
+
+struct WireObject {
+  1: string kind,
+  2: string name,
+  3: i64 version,
+  4: string value_json,
+}
+
+struct WireObjectsRequest {
+  1: i64 since,
+}
+
+struct WireObjects {
+  1: i64 since,
+  2: i64 revision,
+  3: list<WireObject> objects,
+}
+
+union Body {
+  1: WireHeartbeat heartbeat,
+  2: WireStatement statement,
+  3: WirePart part,
+  4: WireFailure failure,
+  5: WireCredit credit,
+  6: WireCancel cancel,
+  7: WireEndTransaction end_transaction,
+  8: WireHeadRequest head_request,
+  9: WireHeadReply head_reply,
+  10: WireEvidenceRequest evidence_request,
+  11: WireEvidenceReply evidence_reply,
+  12: WireObjectsRequest objects_request,
+  13: WireObjects objects,
+}
+
+struct Envelope {
+  1: i64 request_id,
+  2: Body body,
+}
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The bronzescale proxy: one process, one loop, one thread round the core."""
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
@@ -0,0 +1,607 @@
+"""Serve callers over the MySQL protocol."""
+
+import asyncio
+import logging
+import struct
+
+import anyio
+from mysql_mimic import packets, types
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin
+from mysql_mimic.auth import User as MimicUser
+from mysql_mimic.connection import Connection
+from mysql_mimic.constants import KillKind
+from mysql_mimic.control import LocalControl, TooManyConnections
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ColumnType
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from bronzescale_core.exceptions import StatementError
+from bronzescale_proxy.binary_rows import BinaryRowEncoder
+from bronzescale_proxy.sessions import LocalAnswer, SessionState
+
+logger = logging.getLogger("bronzescale.callers")
+
+HEADER_BYTES = 4
+MAX_PACKET_PAYLOAD_BYTES = 0xFFFFFF
+READ_LIMIT_BYTES = 16 * 1024
+STOP_POLL_S = 0.05
+ER_SHUTDOWN = 1053
+ER_TOO_LARGE = 1153
+ER_NET_READ_TIMEOUT = 1159
+_GLOBAL_VARIABLES = GlobalVariables()
+_SHUTDOWN_TEXT = "the proxy is stopping; connect again to reach another"
+
+
+class BoundedStream:
+    """MySQL packets with a bound on their size.
+
+    The library's own stream is compiled and cannot be inherited from, so this one
+    holds it and reads for it.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        Incoming side.
+    writer : asyncio.StreamWriter
+        Outgoing side.
+    max_packet_bytes : int
+        Largest packet accepted.
+    """
+
+    def __init__(self, reader, writer, max_packet_bytes):
+        inner = MysqlStream(reader, writer)
+        self.reader = reader
+        self.writer = writer
+        self.seq = inner.seq
+        self.write = inner.write
+        self.write_many = inner.write_many
+        self.drain = inner.drain
+        self.reset_seq = inner.reset_seq
+        self._max_packet_bytes = max_packet_bytes
+        self.is_reading = False
+
+    async def read(self):
+        """Return the next packet's payload.
+
+        Returns
+        -------
+        bytes
+
+        Raises
+        ------
+        ConnectionClosed
+            If the caller has gone.
+        MysqlError
+            If the packet is out of order or too large.
+        """
+        data = b""
+        while True:
+            payload = await self._read_one(len(data))
+            data = data + payload if data else payload
+            if len(payload) < MAX_PACKET_PAYLOAD_BYTES:
+                return data
+
+    async def _read_one(self, size_so_far):
+        self.is_reading = not size_so_far
+        try:
+            header = await self.reader.readexactly(HEADER_BYTES)
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise ConnectionClosed() from error
+        finally:
+            self.is_reading = False
+        (word,) = struct.unpack("<I", header)
+        size_bytes = word & MAX_PACKET_PAYLOAD_BYTES
+        sequence = word >> 24
+        expected = next(self.seq)
+        if sequence != expected:
+            raise MysqlError(
+                f"packet {sequence} came in place of {expected}; connect again",
+                ErrorCode.MALFORMED_PACKET,
+            )
+        if size_so_far + size_bytes > self._max_packet_bytes:
+            raise MysqlError(
+                f"the packet is larger than {self._max_packet_bytes} bytes; send less "
+                "at once",
+                ER_TOO_LARGE,
+            )
+        try:
+            return await self.reader.readexactly(size_bytes)
+        except (asyncio.IncompleteReadError, ConnectionError) as error:
+            raise ConnectionClosed() from error
+
+
+class CallerSession(BaseSession):
+    """The session that the MySQL library holds for one caller."""
+
+    def __init__(self, state):
+        self.variables = SessionVariables(_GLOBAL_VARIABLES)
+        self.username = None
+        self._database = None
+        self.state = state
+
+    @property
+    def database(self):
+        """Return the selected service."""
+        return self._database
+
+    @database.setter
+    def database(self, value):
+        self._database = value
+        self.state.service = value or ""
+
+    async def use(self, database):
+        """Select a service.
+
+        Parameters
+        ----------
+        database : str
+            Its name.
+        """
+        self.state.use(database)
+        self._database = database
+
+    async def close(self):
+        """Roll back what the caller left open."""
+        with anyio.CancelScope(shield=True):
+            await self.state.close()
+
+    async def reset(self):
+        """Forget settings and transaction."""
+        await self.state.reset()
+
+
+class CallerConnection(Connection):
+    """One caller's connection.
+
+    Parameters
+    ----------
+    server : CallerServer
+        The server that accepted it.
+    **options : dict
+        What the library's connection takes.
+    """
+
+    def __init__(self, server, **options):
+        super().__init__(**options)
+        self._server = server
+        self.is_busy = False
+
+    async def connection_phase(self):
+        """Let the caller log in before the login deadline."""
+        timeout_s = self._server.settings.login_timeout_ms / 1_000
+        try:
+            with anyio.fail_after(timeout_s):
+                await super().connection_phase()
+        except TimeoutError as error:
+            raise MysqlError(
+                f"no login within {timeout_s:g} s; connect again", ER_NET_READ_TIMEOUT
+            ) from error
+        self._refuse_failed_login()
+        self.status_flags = types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
+
+    def _refuse_failed_login(self):
+        """Close after a wrong login; the library has told the caller why."""
+        if self.session.username is None:
+            raise ConnectionClosed()
+
+    async def handle_change_user(self, data):
+        """Let the caller log in anew; close if that fails.
+
+        Parameters
+        ----------
+        data : bytes
+            Payload of the command.
+        """
+        self.session.username = None
+        await super().handle_change_user(data)
+        self._refuse_failed_login()
+
+    async def handle_query(self, data):
+        """Run a text statement.
+
+        Parameters
+        ----------
+        data : bytes
+            Payload of the command.
+        """
+        query = packets.parse_com_query(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+        )
+        await self._answer(query.sql, query.query_attrs, TextWriter(self))
+
+    async def handle_stmt_execute(self, data):
+        """Run a prepared statement.
+
+        Parameters
+        ----------
+        data : bytes
+            Payload of the command.
+        """
+        execute = packets.parse_com_stmt_execute(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+            get_stmt=self.get_stmt,
+        )
+        execute.stmt.param_buffers = None
+        await self._answer(execute.sql, execute.query_attrs, BinaryWriter(self))
+
+    async def handle_reset_connection(self, data):
+        """Forget settings and transaction.
+
+        Parameters
+        ----------
+        data : bytes
+            Payload of the command; empty.
+        """
+        await self.session.reset()
+        self._update_status()
+        await self.stream.write(self.ok())
+
+    async def handle_init_db(self, data):
+        """Select a service.
+
+        Parameters
+        ----------
+        data : bytes
+            Its name.
+        """
+        try:
+            await super().handle_init_db(data)
+        except StatementError as error:
+            await self._write_statement_error(error)
+
+    async def _answer(self, sql, attributes, writer):
+        state = self.session.state
+        self.is_busy = True
+        try:
+            await self._server.kill_if_asked(sql, state)
+            end = await state.run(sql, attributes, writer.write_part)
+            self._update_status()
+            await writer.finish(end)
+        except LocalAnswer as answer:
+            self._update_status()
+            await writer.write_local(answer)
+        except StatementError as error:
+            self._update_status()
+            if writer.has_started:
+                # The rows so far must not pass for the whole answer.
+                raise ConnectionAbortedError(str(error)) from error
+            await self._write_statement_error(error)
+        finally:
+            self.is_busy = False
+
+    def _update_status(self):
+        flags = types.ServerStatus(0)
+        if self.session.state.in_transaction:
+            flags |= types.ServerStatus.SERVER_STATUS_IN_TRANS
+        if self.session.state.is_autocommit:
+            flags |= types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        self.status_flags = flags
+
+    async def _write_statement_error(self, error):
+        self._server.metrics.count(f"statement.error.{error.kind}")
+        text = str(error)
+        if error.retry_after_ms:
+            text = f"{text} (retry after {error.retry_after_ms} ms)"
+        await self.stream.write(make_error_packet(error.code, error.sqlstate, text))
+
+    async def command_phase(self):
+        """Serve commands until the caller leaves or the answer broke off."""
+        try:
+            await super().command_phase()
+        except (ConnectionError, ConnectionClosed):
+            self.stream.writer.transport.abort()
+
+    def error(self, **kwargs):
+        """Return an error packet with a SQLSTATE for codes the library lacks."""
+        code = kwargs.get("code", ErrorCode.UNKNOWN_ERROR)
+        message = kwargs.get("msg", "")
+        if isinstance(message, MysqlError):
+            code = message.code
+            message = message.msg
+        if isinstance(code, ErrorCode):
+            return super().error(msg=message, code=code)
+        return make_error_packet(code, "HY000", str(message))
+
+
+def make_error_packet(code, sqlstate, text):
+    """Return the payload of an error packet.
+
+    Parameters
+    ----------
+    code : int
+        Error number.
+    sqlstate : str
+        Five characters.
+    text : str
+        The message.
+
+    Returns
+    -------
+    bytes
+    """
+    head = struct.pack("<BH", 0xFF, code)
+    return head + b"#" + sqlstate.encode() + text.encode()
+
+
+class TextWriter:
+    """Write a result in the text protocol."""
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._stream = connection.stream
+        self.has_started = False
+
+    async def write_part(self, part):
+        """Write a part; return when the caller can take more.
+
+        Parameters
+        ----------
+        part : ResultPart
+            The part.
+        """
+        if part.columns and not self.has_started:
+            self._write_columns(part.columns)
+        if part.rows:
+            await self._write_rows(self.encode_rows(part.rows))
+        if part.end is None:
+            await self._stream.drain()
+
+    def encode_rows(self, rows):
+        """Return the row packets as they go to the caller."""
+        return rows
+
+    async def _write_rows(self, rows):
+        if max(map(len, rows)) < MAX_PACKET_PAYLOAD_BYTES:
+            self._stream.write_many(rows)
+            return
+        for row in rows:
+            await self._stream.write(row, drain=False)
+
+    def _write_columns(self, columns):
+        self.has_started = True
+        count = packets.make_column_count(
+            capabilities=self._connection.capabilities, column_count=len(columns)
+        )
+        self._stream.write_many([count, *columns])
+        if not self._connection.deprecate_eof():
+            self._stream.write_many([self._connection.eof()])
+
+    async def finish(self, end):
+        """Write the end of the answer.
+
+        Parameters
+        ----------
+        end : ResultEnd
+            How the statement ended.
+        """
+        if self.has_started:
+            await self._stream.write(self._connection.ok_or_eof(warnings=end.warnings))
+            return
+        await self._stream.write(
+            self._connection.ok(
+                affected_rows=end.affected_rows,
+                last_insert_id=end.insert_id,
+                warnings=end.warnings,
+            )
+        )
+
+    async def write_local(self, answer):
+        """Write an answer that the proxy gives itself.
+
+        Parameters
+        ----------
+        answer : LocalAnswer
+            The answer.
+        """
+        if not answer.label:
+            await self._stream.write(self._connection.ok())
+            return
+        column = packets.make_column_definition_41(
+            server_charset=self._connection.server_charset,
+            name=answer.label,
+            column_type=ColumnType.VARCHAR,
+        )
+        result_column = ResultColumn(answer.label, ColumnType.VARCHAR)
+        row = packets.make_text_resultset_row([answer.value], [result_column])
+        self._write_columns([column])
+        self._remember_columns([column])
+        self._stream.write_many(self.encode_rows([row]))
+        await self._stream.write(self._connection.ok_or_eof())
+
+    def _remember_columns(self, columns):
+        """Take note of the columns; the text protocol needs none."""
+
+
+class BinaryWriter(TextWriter):
+    """Write a result in the binary protocol of prepared statements."""
+
+    def __init__(self, connection):
+        super().__init__(connection)
+        self._encoder = None
+
+    async def write_part(self, part):
+        """Write a part; return when the caller can take more."""
+        if part.columns and self._encoder is None:
+            self._remember_columns(part.columns)
+        await super().write_part(part)
+
+    def encode_rows(self, rows):
+        """Return the rows in the binary protocol."""
+        return [self._encoder.encode(row) for row in rows]
+
+    def _remember_columns(self, columns):
+        self._encoder = BinaryRowEncoder(columns)
+
+
+class DeclaredIdentities(IdentityProvider):
+    """Logins from the declaration in force."""
+
+    def __init__(self, node):
+        self._node = node
+
+    async def get_user(self, username):
+        """Return a declared login, or None.
+
+        Parameters
+        ----------
+        username : str
+            Login name.
+
+        Returns
+        -------
+        mysql_mimic.auth.User or None
+        """
+        declaration = self._node.declaration
+        if declaration is None:
+            return None
+        for user in declaration.users:
+            if user.name == username:
+                return MimicUser(
+                    name=username,
+                    auth_string=user.password_sha1 or None,
+                    auth_plugin=NativePasswordAuthPlugin.name,
+                )
+        return None
+
+
+class CallerServer:
+    """Accept callers and hold their connections.
+
+    Parameters
+    ----------
+    node : NodeRuntime
+        What this node knows.
+    dispatcher : Dispatcher
+        Runs statements.
+    settings : Settings
+        Settings of this node.
+    metrics : Metrics
+        Counters and timers.
+    """
+
+    def __init__(self, node, dispatcher, settings, metrics):
+        self._node = node
+        self._dispatcher = dispatcher
+        self.settings = settings
+        self.metrics = metrics
+        self._control = LocalControl()
+        self._identities = DeclaredIdentities(node)
+        self._connections = set()
+        self._server = None
+        self.is_stopping = False
+
+    @property
+    def port(self):
+        """Return the port that callers connect to."""
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def open_connections(self):
+        """Return how many callers are connected."""
+        return len(self._connections)
+
+    async def start(self):
+        """Listen for callers."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            self.settings.caller_host,
+            self.settings.caller_port,
+            limit=READ_LIMIT_BYTES,
+            backlog=1_024,
+        )
+
+    async def stop(self):
+        """Take no new callers, finish what is in flight, then close the rest."""
+        self.is_stopping = True
+        self._server.close()
+        with anyio.move_on_after(self.settings.stop_grace_ms / 1_000):
+            while self._connections:
+                for connection in list(self._connections):
+                    self._close_if_idle(connection)
+                await anyio.sleep(STOP_POLL_S)
+        for connection in list(self._connections):
+            connection.stream.writer.transport.abort()
+
+    def _close_if_idle(self, connection):
+        """Close a session that stands between statements, outside a transaction."""
+        is_between = connection.stream.is_reading and not connection.is_busy
+        if not is_between or connection.session.state.in_transaction:
+            return
+        transport = connection.stream.writer.transport
+        if not transport.is_closing():
+            packet = make_error_packet(ER_SHUTDOWN, "08S01", _SHUTDOWN_TEXT)
+            header = struct.pack("<I", len(packet))
+            transport.write(header + packet)
+            transport.close()
+
+    async def kill_if_asked(self, sql, state):
+        """Carry out ``KILL``, which names a connection of this node.
+
+        Parameters
+        ----------
+        sql : str
+            The statement.
+        state : SessionState
+            Session that sent it.
+        """
+        if sql.lstrip()[:4].lower() != "kill":
+            return
+        words = sql.strip().rstrip(";").split()
+        number = words[-1]
+        if not number.isdecimal():
+            return
+        is_query = len(words) == 3 and words[1].lower() == "query"
+        kind = KillKind.QUERY if is_query else KillKind.CONNECTION
+        await self._control.kill(int(number), kind)
+        raise LocalAnswer()
+
+    async def _accept(self, reader, writer):
+        stream = BoundedStream(reader, writer, self.settings.max_packet_bytes)
+        if self.is_stopping or len(self._connections) >= self.settings.max_callers:
+            await self._refuse(stream)
+            return
+        state = SessionState(self._node, self._dispatcher)
+        connection = CallerConnection(
+            self,
+            stream=stream,
+            session=CallerSession(state),
+            control=self._control,
+            identity_provider=self._identities,
+        )
+        await self._serve(connection, state, writer)
+
+    async def _serve(self, connection, state, writer):
+        try:
+            connection.connection_id = await self._control.add(connection)
+        except TooManyConnections:
+            await self._refuse(connection.stream)
+            return
+        state.connection_id = connection.connection_id
+        self._connections.add(connection)
+        self.metrics.count("caller.connected")
+        try:
+            await connection.start()
+        except (ConnectionClosed, ConnectionError, MysqlError):
+            logger.debug("callers: a caller left before its login.")
+        except Exception:
+            logger.exception("callers: a connection failed; report this.")
+        finally:
+            self._connections.discard(connection)
+            await self._control.remove(connection.connection_id)
+            writer.close()
+
+    async def _refuse(self, stream):
+        text = _SHUTDOWN_TEXT if self.is_stopping else "too many callers; retry later"
+        packet = make_error_packet(ErrorCode.CON_COUNT_ERROR, "08004", text)
+        try:
+            await stream.write(packet)
+        except ConnectionError:
+            pass
+        stream.writer.close()
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
@@ -0,0 +1,146 @@
+"""Wire the parts of one proxy process: the composition root."""
+
+import json
+import logging
+from contextlib import AsyncExitStack
+
+import anyio
+import httpx
+
+from bronzescale_core.membership import Membership
+from bronzescale_core.rendezvous import Node
+from bronzescale_proxy.admin import AdminServer
+from bronzescale_proxy.callers import CallerServer
+from bronzescale_proxy.clock import wall_ms
+from bronzescale_proxy.dispatch import Dispatcher
+from bronzescale_proxy.metrics import build_metrics
+from bronzescale_proxy.node import NodeRuntime
+from bronzescale_proxy.peers import PeerClient, PeerServer
+from bronzescale_proxy.serving import PeerService
+from bronzescale_proxy.spread import Spreader
+from bronzescale_proxy.store import PlatformStore
+from bronzescale_proxy.traces import TraceWriter
+
+logger = logging.getLogger("bronzescale.process")
+
+LEAVE_PAUSE_S = 1.0
+
+
+class Application:
+    """One proxy process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.metrics = build_metrics(settings)
+        self.store = None
+        self.node = None
+        self.spreader = None
+        self.dispatcher = None
+        self.callers = None
+        self.peer_port = 0
+        self.admin_port = 0
+        self._is_started = False
+        self._stop_asked = anyio.Event()
+        self.started = anyio.Event()
+
+    def is_ready(self):
+        """Return whether the balancer may send callers here.
+
+        Returns
+        -------
+        bool
+        """
+        has_declaration = self.node is not None and self.node.declaration is not None
+        return self._is_started and has_declaration and not self._stop_asked.is_set()
+
+    def request_stop(self):
+        """Ask for a graceful stop."""
+        self._stop_asked.set()
+
+    async def run(self):
+        """Run until a stop is asked for, then stop gracefully."""
+        async with AsyncExitStack() as stack:
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            stack.callback(tasks.cancel_scope.cancel)
+            peer_listener = await self._listen("peer", stack)
+            admin_listener = await self._listen("admin", stack)
+            await self._build(stack, tasks)
+            peer_server = PeerServer(
+                PeerService(self.node, self.spreader), self.metrics.frame
+            )
+            tasks.start_soon(peer_listener.serve, peer_server.serve_stream)
+            tasks.start_soon(admin_listener.serve, AdminServer(self).serve_stream)
+            tasks.start_soon(self.node.run)
+            await self.spreader.start_up()
+            tasks.start_soon(self.spreader.run)
+            await self.callers.start()
+            self._is_started = True
+            self._announce()
+            self.started.set()
+            await self._stop_asked.wait()
+            await self._stop()
+
+    async def _listen(self, name, stack):
+        host = getattr(self.settings, f"{name}_host")
+        port = getattr(self.settings, f"{name}_port")
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        await stack.enter_async_context(listener)
+        bound = listener.extra(anyio.abc.SocketAttribute.local_port)
+        setattr(self, f"{name}_port", bound)
+        return listener
+
+    async def _build(self, stack, tasks):
+        settings = self.settings
+        client = httpx.AsyncClient(base_url=settings.platform_url, trust_env=False)
+        await stack.enter_async_context(client)
+        self.store = PlatformStore(client)
+        own = Node(
+            settings.node,
+            f"{settings.peer_host}:{self.peer_port}",
+            settings.zone,
+            settings.region,
+            wall_ms(),
+            f"{settings.admin_host}:{self.admin_port}",
+        )
+        peers = PeerClient(tasks, self.metrics.frame)
+        trace = TraceWriter(self._open_trace(stack), settings.node)
+        self.node = NodeRuntime(
+            settings, Membership(own), self.store, peers, self.metrics, trace
+        )
+        self.spreader = Spreader(self.node)
+        self.dispatcher = Dispatcher(self.node, self.metrics)
+        self.callers = CallerServer(self.node, self.dispatcher, settings, self.metrics)
+
+    def _open_trace(self, stack):
+        if not self.settings.trace_path:
+            return None
+        return stack.enter_context(open(self.settings.trace_path, "a"))
+
+    def _announce(self):
+        settings = self.settings
+        line = {
+            "ready": True,
+            "node": settings.node,
+            "callers": f"{settings.caller_host}:{self.callers.port}",
+            "peers": f"{settings.peer_host}:{self.peer_port}",
+            "admin": f"{settings.admin_host}:{self.admin_port}",
+        }
+        print(json.dumps(line), flush=True)
+        logger.info("process: started in %s.", settings.zone)
+
+    async def _stop(self):
+        """Turn unready, hand ownership over, finish what is in flight."""
+        logger.info("process: stopping; finishing what is in flight.")
+        self.node.membership.leave()
+        await self.callers.stop()
+        await anyio.sleep(LEAVE_PAUSE_S)
+        with anyio.move_on_after(self.settings.stop_grace_ms / 1_000):
+            while any(not owner.is_idle for owner in self.node.owners()):
+                await anyio.sleep(0.05)
+        logger.info("process: stopped.")
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -0,0 +1,465 @@
+"""Know the fleet, the objects and the owned databases of one node."""
+
+import logging
+
+import anyio
+
+from bronzescale_core.declaration import load_declaration
+from bronzescale_core.detection import Verdict
+from bronzescale_core.exceptions import InvalidDeclarationError
+from bronzescale_core.groups import GroupState, dump_group, load_group
+from bronzescale_core.objects import ObjectCache, StoreObject
+from bronzescale_core.rendezvous import rank_nodes
+from bronzescale_proxy import wire
+from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.exceptions import (
+    PeerUnavailableError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from bronzescale_proxy.group import GroupRuntime, new_nonce
+from bronzescale_proxy.owner import DatabaseOwner
+
+logger = logging.getLogger("bronzescale.node")
+
+SWEEP_S = 0.5
+OWNER_IDLE_MS = 10_000
+EVIDENCE_TIMEOUT_S = 0.6
+DECLARATION_KIND = "declaration"
+DECLARATION_NAME = "main"
+GROUP_KIND = "group"
+
+
+class NodeRuntime:
+    """State of one node between the listeners and the databases.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of this node.
+    membership : Membership
+        Who is alive.
+    store : PlatformStore
+        The platform's store.
+    peers : PeerClient
+        Links to other nodes.
+    metrics : Metrics
+        Counters and timers.
+    trace : callable
+        Takes each event of a failover machine and its actions.
+    """
+
+    def __init__(self, settings, membership, store, peers, metrics, trace):
+        self.settings = settings
+        self.membership = membership
+        self.store = store
+        self.peers = peers
+        self.metrics = metrics
+        self.trace = trace
+        self.objects = ObjectCache()
+        self.declaration = None
+        self.declaration_problem = ""
+        self.leaving_upstreams = set()
+        self._states = {}
+        self._groups = {}
+        self._group_scopes = {}
+        self._owners = {}
+        self._tasks = None
+        self.changed = anyio.Event()
+
+    async def run(self):
+        """Run until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            try:
+                while True:
+                    self.arrange()
+                    await self._found_groups()
+                    await anyio.sleep(SWEEP_S)
+            finally:
+                for owner in self._owners.values():
+                    owner.close()
+
+    # Objects
+
+    def learn(self, candidate):
+        """Take an object of the store, from wherever it came.
+
+        Parameters
+        ----------
+        candidate : StoreObject
+            The object.
+
+        Returns
+        -------
+        bool
+            Whether it was newer than what was known.
+        """
+        if not self.objects.put(candidate):
+            return False
+        self._apply(candidate)
+        return True
+
+    def learn_all(self, changes, since, revision):
+        """Take all changes between two revisions.
+
+        Parameters
+        ----------
+        changes : iterable of StoreObject
+            The changes.
+        since, revision : int
+            The revisions.
+
+        Returns
+        -------
+        list of StoreObject
+            What was new.
+        """
+        fresh = self.objects.extend(changes, since, revision)
+        for each in fresh:
+            self._apply(each)
+        return fresh
+
+    def publish(self, state):
+        """Tell every live node about a group state at once.
+
+        Parameters
+        ----------
+        state : GroupState
+            The state, with its version.
+        """
+        item = StoreObject(GROUP_KIND, state.service, state.version, dump_group(state))
+        self.learn(item)
+        self.push([item])
+
+    def push(self, items, nodes=None):
+        """Send objects to other nodes without waiting.
+
+        Parameters
+        ----------
+        items : list of StoreObject
+            The objects.
+        nodes : list of Node, default=None
+            Whom to tell; None for every live node.
+        """
+        message = wire.Objects(-1, -1, items)
+        for node in self.membership.live() if nodes is None else nodes:
+            if node.name != self.settings.node:
+                self._tasks.start_soon(self.peers.tell, node, message)
+
+    def _apply(self, item):
+        if item.kind == DECLARATION_KIND and item.name == DECLARATION_NAME:
+            self._apply_declaration(item)
+        elif item.kind == GROUP_KIND and item.value is not None:
+            state = load_group(item.value, item.version)
+            self._states[state.service] = state
+            group = self._groups.get(state.service)
+            if group is not None:
+                group.observe_state(state)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _apply_declaration(self, item):
+        try:
+            self.declaration = load_declaration(item.value, item.version)
+            self.declaration_problem = ""
+            logger.info("node: generation %d is in force.", item.version)
+        except (InvalidDeclarationError, KeyError, TypeError) as error:
+            self.declaration_problem = f"generation {item.version}: {error}"
+            logger.error("node: kept the old declaration: %s.", error)
+        self.arrange()
+
+    # Groups and owners
+
+    def service(self, name):
+        """Return a service in force.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+
+        Returns
+        -------
+        Service or None
+        """
+        return self.declaration.service(name) if self.declaration else None
+
+    def state(self, service):
+        """Return the newest known state of a service's group.
+
+        Parameters
+        ----------
+        service : str
+            Its name.
+
+        Returns
+        -------
+        GroupState or None
+        """
+        return self._states.get(service)
+
+    def groups(self):
+        """Return the groups that this node watches.
+
+        Returns
+        -------
+        list of GroupRuntime
+        """
+        return list(self._groups.values())
+
+    def group(self, service):
+        """Return a group that this node watches, or None."""
+        return self._groups.get(service)
+
+    def owners(self):
+        """Return the databases that this node serves.
+
+        Returns
+        -------
+        list of DatabaseOwner
+        """
+        return list(self._owners.values())
+
+    def upstreams(self, service):
+        """Return a service's databases, with the platform's word on who is leaving.
+
+        Parameters
+        ----------
+        service : Service
+            The service.
+
+        Returns
+        -------
+        list of Upstream
+        """
+        leaving = self.leaving_upstreams
+        return [
+            u._replace(is_leaving=True) if u.name in leaving else u
+            for u in service.upstreams
+        ]
+
+    def rank(self, upstream):
+        """Order the nodes that may own a database.
+
+        Parameters
+        ----------
+        upstream : Upstream
+            The database.
+
+        Returns
+        -------
+        list of Node
+        """
+        return rank_nodes(
+            upstream.name, self.membership.eligible(), upstream.zone, upstream.region
+        )
+
+    def owner(self, service, upstream_name):
+        """Return this node's owner of a database, made when first asked for.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        upstream_name : str
+            Name of the database.
+
+        Returns
+        -------
+        DatabaseOwner or None
+            None if the declaration in force has no such database.
+        """
+        owner = self._owners.get(upstream_name)
+        if owner is not None:
+            return owner
+        declared = self.service(service)
+        if declared is None or self.state(service) is None:
+            return None
+        upstream = next(
+            (u for u in declared.upstreams if u.name == upstream_name), None
+        )
+        if upstream is None:
+            return None
+        group = self._require_group(declared)
+        owner = DatabaseOwner(upstream, group, self.settings, self.metrics)
+        self._owners[upstream_name] = owner
+        self._assign(declared)
+        return owner
+
+    def arrange(self):
+        """Make the owned databases and watched groups match the declaration."""
+        if self.declaration is None or self._tasks is None:
+            return
+        for service in self.declaration.services:
+            if self.state(service.name) is None:
+                continue
+            self._arrange_service(service)
+        declared = {s.name for s in self.declaration.services}
+        for name in set(self._groups) - declared:
+            self._drop_group(name)
+        self._drop_owners()
+
+    def _arrange_service(self, service):
+        group = self._groups.get(service.name)
+        if group is not None and group.service != service:
+            group.set_service(service)
+        for upstream in service.upstreams:
+            ranked = self.rank(upstream)
+            is_first = bool(ranked) and ranked[0].name == self.settings.node
+            if is_first and upstream.name not in self._owners:
+                self.owner(service.name, upstream.name)
+        if service.name in self._groups:
+            self._assign(service)
+
+    def _require_group(self, service):
+        group = self._groups.get(service.name)
+        if group is None:
+            group = GroupRuntime(service, self.state(service.name), self)
+            scope = anyio.CancelScope()
+            self._groups[service.name] = group
+            self._group_scopes[service.name] = scope
+            self._tasks.start_soon(self._run_group, group, scope)
+        return group
+
+    async def _run_group(self, group, scope):
+        with scope:
+            await group.run()
+
+    def _drop_group(self, name):
+        del self._groups[name]
+        self._group_scopes.pop(name).cancel()
+
+    def _assign(self, service):
+        """Tell a group which copies this node owns and its rank as a watcher."""
+        owned = {u.name for u in service.upstreams if u.name in self._owners}
+        watchers = self.watchers(service)
+        names = [node.name for node in watchers]
+        own = self.settings.node
+        rank = names.index(own) if own in names else len(names)
+        self._groups[service.name].set_owned(owned, rank)
+
+    def watchers(self, service):
+        """Return the nodes that watch a service's group, best first.
+
+        Parameters
+        ----------
+        service : Service
+            The service.
+
+        Returns
+        -------
+        list of Node
+        """
+        first = {}
+        for upstream in service.upstreams:
+            ranked = self.rank(upstream)
+            if ranked:
+                first[ranked[0].name] = ranked[0]
+        return rank_nodes(service.name, first.values())
+
+    def _drop_owners(self):
+        """Close owners that another node ranks above and that are idle here."""
+        now_ms = monotonic_ms()
+        for name, owner in list(self._owners.items()):
+            ranked = self.rank(owner.upstream)
+            is_first = bool(ranked) and ranked[0].name == self.settings.node
+            owner.end_idle_transactions()
+            service = self._declared_service_of(owner)
+            if service is not None and is_first:
+                continue
+            if not owner.is_idle:
+                continue
+            owner.pool.close_idle()
+            if service is None or now_ms - owner.used_at_ms > OWNER_IDLE_MS:
+                owner.close()
+                del self._owners[name]
+                self._release_watch(owner)
+
+    def _declared_service_of(self, owner):
+        for service in self.declaration.services:
+            if owner.upstream in service.upstreams:
+                return service
+        return None
+
+    def _release_watch(self, owner):
+        for service in self.declaration.services:
+            names = [upstream.name for upstream in service.upstreams]
+            if owner.upstream.name in names and service.name in self._groups:
+                self._assign(service)
+
+    async def _found_groups(self):
+        """Write the first state of groups that the store does not know yet."""
+        if self.declaration is None:
+            return
+        for service in self.declaration.services:
+            if self.state(service.name) is not None:
+                continue
+            watchers = self.watchers(service)
+            if watchers and watchers[0].name == self.settings.node:
+                await self._found_group(service)
+
+    async def _found_group(self, service):
+        state = GroupState(
+            service=service.name,
+            term=1,
+            primary=service.initial_primary,
+            writer=self.settings.node,
+            nonce=new_nonce(),
+            reason="first declared",
+        )
+        try:
+            version = await self.store.update(
+                GROUP_KIND, service.name, dump_group(state), 0
+            )
+            self.publish(state._replace(version=version))
+        except StoreConflictError:
+            found = await self._read_group(service.name)
+            if found is not None:
+                self.learn(found)
+        except StoreUnavailableError as error:
+            logger.warning("node: %s has no state yet: %s.", service.name, error)
+
+    async def _read_group(self, name):
+        try:
+            return await self.store.read(GROUP_KIND, name)
+        except StoreUnavailableError:
+            return None
+
+    # Evidence
+
+    async def ask_evidence(self, service, term):
+        """Ask the other watchers of a group what they see, and yield answers.
+
+        Parameters
+        ----------
+        service : Service
+            The service.
+        term : int
+            Term whose primary is in doubt.
+
+        Yields
+        ------
+        tuple of (str, str, Verdict)
+            Node, zone and verdict.
+        """
+        send, receive = anyio.create_memory_object_stream(64)
+        nodes = [n for n in self.watchers(service) if n.name != self.settings.node]
+        request = wire.EvidenceRequest(service.name, term)
+
+        async def ask(node, answers):
+            async with answers:
+                try:
+                    reply = await self.peers.ask(node, request, EVIDENCE_TIMEOUT_S)
+                except PeerUnavailableError:
+                    return
+                if isinstance(reply, wire.EvidenceReply) and reply.verdict:
+                    verdict = Verdict(reply.verdict)
+                    await answers.send((reply.node, reply.zone, verdict))
+
+        async with anyio.create_task_group() as tasks:
+            async with send:
+                for node in nodes:
+                    tasks.start_soon(ask, node, send.clone())
+            async with receive:
+                async for answer in receive:
+                    yield answer
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -0,0 +1,628 @@
+"""Run statements at one database: admission, connections, transactions, answers."""
+
+import hashlib
+import logging
+from contextlib import asynccontextmanager
+
+import anyio
+
+from bronzescale_core.acknowledgement import Confirmed, Superseded
+from bronzescale_core.admission import AdmissionQueue, Admitted, Refused, WorkClass
+from bronzescale_core.exceptions import (
+    OutcomeUnknownError,
+    TransactionLostError,
+    UpstreamStatementError,
+)
+from bronzescale_core.groups import Phase
+from bronzescale_core.outcomes import Progress
+from bronzescale_core.positions import ORIGIN, Position
+from bronzescale_core.statements import (
+    ConsistencyMode,
+    ResultEnd,
+    ResultPart,
+    StatementKind,
+)
+from bronzescale_proxy import orders
+from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.exceptions import (
+    AttemptFailedError,
+    PermitUnavailableError,
+    UpstreamUnavailableError,
+)
+from bronzescale_proxy.upstream import ConnectionPool, OkAnswer, plan_permits
+
+logger = logging.getLogger("bronzescale.owner")
+
+PART_BYTES = 64 * 1024
+TRANSACTION_IDLE_MS = 60_000
+ER_DUPLICATE_KEY = 1062
+READ_ONLY_CODES = frozenset((1290, 1792, 1836))
+HEAD_WAIT_MS = 1_500
+
+
+class Transaction:
+    """An open transaction and the connection that belongs to it alone."""
+
+    def __init__(self, transaction_id, connection, is_replica, opener):
+        self.transaction_id = transaction_id
+        self.connection = connection
+        self.is_replica = is_replica
+        self.opener = opener
+        self.lock = anyio.Lock()
+        self.used_at_ms = monotonic_ms()
+
+
+class DatabaseOwner:
+    """Owner of one database on this node.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The database.
+    group : GroupRuntime
+        Its group.
+    settings : Settings
+        Settings of this node.
+    metrics : Metrics
+        Counters and timers.
+    """
+
+    def __init__(self, upstream, group, settings, metrics):
+        self.upstream = upstream
+        self._group = group
+        self._settings = settings
+        self._metrics = metrics
+        self._pool = ConnectionPool(
+            group.connector(upstream),
+            plan_permits(upstream.max_connections).work,
+            monotonic_ms,
+        )
+        self._queue = AdmissionQueue(upstream.slots, group.service.max_queued)
+        self._queued = {}
+        self._transactions = {}
+        self._next_transaction_id = 1
+        self.used_at_ms = monotonic_ms()
+
+    @property
+    def pool(self):
+        """Return the connections of this owner."""
+        return self._pool
+
+    @property
+    def queue(self):
+        """Return the admission queue."""
+        return self._queue
+
+    @property
+    def open_transactions(self):
+        """Return how many transactions are open."""
+        return len(self._transactions)
+
+    @property
+    def is_idle(self):
+        """Return whether nothing runs, waits or is open here."""
+        busy = self._queue.running or self._queue.queued or self._transactions
+        return not busy
+
+    def close(self):
+        """Close every connection; open transactions roll back."""
+        for transaction_id in list(self._transactions):
+            self.end_transaction(transaction_id)
+        self._pool.close()
+
+    def end_transaction(self, transaction_id):
+        """Roll back a transaction whose caller is gone.
+
+        Parameters
+        ----------
+        transaction_id : int
+            The transaction; one that ended already is ignored.
+        """
+        transaction = self._transactions.pop(transaction_id, None)
+        if transaction is not None:
+            transaction.connection.close()
+            self._pool.give_back(transaction.connection)
+
+    def end_transactions_of(self, opener):
+        """Roll back every transaction of an opener that is gone.
+
+        Parameters
+        ----------
+        opener : object
+            What was passed as ``opener`` to `execute`.
+        """
+        for transaction in list(self._transactions.values()):
+            if transaction.opener is opener:
+                self.end_transaction(transaction.transaction_id)
+
+    def end_idle_transactions(self):
+        """Roll back transactions that nobody used for long."""
+        now_ms = monotonic_ms()
+        for transaction in list(self._transactions.values()):
+            if now_ms - transaction.used_at_ms > TRANSACTION_IDLE_MS:
+                logger.info("owner: rolled back an idle transaction.")
+                self.end_transaction(transaction.transaction_id)
+
+    async def execute(self, request, send_part, opener):
+        """Run one statement and send its answer part by part.
+
+        Parameters
+        ----------
+        request : StatementRequest
+            The statement.
+        send_part : callable
+            ``async (ResultPart)``; returns when the caller can take more.
+        opener : object
+            Owns a transaction that the statement opens.
+
+        Raises
+        ------
+        AttemptFailedError
+            If the attempt failed; it says how far the statement came.
+        StatementError
+            If the answer is final.
+        """
+        self.used_at_ms = monotonic_ms()
+        if request.transaction_id:
+            await self._execute_in_transaction(request, send_part)
+        elif request.kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
+            await self._begin(request, send_part, opener)
+        elif request.kind is StatementKind.READ:
+            await self._read(request, send_part)
+        else:
+            await self._save(request, send_part)
+
+    # Reads
+
+    async def _read(self, request, send_part):
+        await self._require_fresh(request)
+        async with self._slot(request, WorkClass.READ) as connection:
+            end = ResultEnd(
+                upstream=self.upstream.name,
+                is_replica=not self._is_primary(),
+                position=self._applied_position(),
+            )
+            last_part = await self._relay(connection, request, send_part, end)
+        await send_part(last_part)
+
+    async def _require_fresh(self, request):
+        mode = request.consistency.mode
+        if mode is ConsistencyMode.PRIMARY:
+            await self._require_confirmed_primary(request)
+            return
+        watch = self._group.watch(self.upstream.name)
+        if watch is None:
+            raise self._not_sent(f"{self.upstream.name} is not watched here yet")
+        if mode is ConsistencyMode.AGE:
+            self._require_age(request, watch)
+            return
+        until_ms = min(request.wait_until_ms, request.deadline_ms)
+        if not await watch.wait_applied(request.floor, self._state, until_ms):
+            raise AttemptFailedError(
+                Progress.NOT_SENT,
+                f"{self.upstream.name} has not applied {request.floor.term}:"
+                f"{request.floor.offset}",
+                is_behind=True,
+            )
+
+    def _require_age(self, request, watch):
+        age_ms = None
+        if watch.report is not None:
+            applied = watch.report.applied_position
+            age_ms = self._group.heads.age_ms(applied, monotonic_ms())
+        if age_ms is None or age_ms > request.consistency.max_age_ms:
+            text = "unknown" if age_ms is None else f"{age_ms} ms"
+            raise AttemptFailedError(
+                Progress.NOT_SENT,
+                f"the age of {self.upstream.name} is {text}",
+                is_behind=True,
+            )
+
+    async def _require_confirmed_primary(self, request):
+        self._require_primary()
+        until_ms = min(request.deadline_ms, monotonic_ms() + HEAD_WAIT_MS)
+        head = await self._group.confirmed_head(request.arrived_at_ms, until_ms)
+        if head is None or head.position.term != self._state().term:
+            raise self._not_sent("no replica confirms the primary's term")
+
+    # Saves
+
+    async def _save(self, request, send_part):
+        await self._require_open_primary(request)
+        if request.request_key:
+            position, ok = await self._run_keyed(request)
+            end = self._save_end(ok, position)
+            await self._acknowledge(request, position)
+            await send_part(ResultPart([], [], end))
+            return
+        held = []
+
+        async def hold_part(part):
+            held.append(part)
+
+        async with self._slot(request, WorkClass.SAVE) as connection:
+            last_part = await self._relay(
+                connection, request, hold_part, self._save_end()
+            )
+        await self._acknowledge(request, last_part.end.position)
+        for part in [*held, last_part]:
+            await send_part(part)
+
+    def _save_end(self, ok=None, position=ORIGIN):
+        end = ResultEnd(upstream=self.upstream.name, position=position)
+        if ok is None:
+            return end
+        return end._replace(
+            affected_rows=ok.affected_rows,
+            insert_id=ok.insert_id,
+            warnings=ok.warnings,
+        )
+
+    async def _acknowledge(self, request, position):
+        """Return once a replica's word covers the save."""
+        if self._settings.acknowledge == "primary":
+            return
+        if position == ORIGIN:
+            await self._require_confirmed_primary(request)
+            return
+        started_ms = monotonic_ms()
+        outcome = await self._group.confirm(position, request.deadline_ms)
+        self._metrics.timing("save.confirm_ms", monotonic_ms() - started_ms)
+        if isinstance(outcome, Confirmed):
+            return
+        if isinstance(outcome, Superseded):
+            reason = f"its primary was replaced by term {outcome.term}"
+        else:
+            reason = "no replica confirmed it before the deadline"
+        raise AttemptFailedError(Progress.SENT, reason)
+
+    async def _run_keyed(self, request):
+        """Run a save and record its key in one transaction, or find it recorded."""
+        async with self._slot(request, WorkClass.SAVE) as connection:
+            with self._failing_as(Progress.SENT), self._until_deadline(request):
+                await connection.run("BEGIN")
+                try:
+                    await connection.run(_insert_key_sql(request))
+                except UpstreamStatementError as error:
+                    if error.code != ER_DUPLICATE_KEY:
+                        await self._fail_keyed(connection, error)
+                    return await self._recorded(connection, request)
+                try:
+                    ok = await connection.run(request.sql)
+                except UpstreamStatementError as error:
+                    await self._fail_keyed(connection, error)
+                if not isinstance(ok, OkAnswer):
+                    ok = OkAnswer(0, 0, 0, ORIGIN)
+                await connection.run(_finish_key_sql(request, ok))
+                committed = await connection.run("COMMIT")
+                return committed.position, ok
+
+    async def _fail_keyed(self, connection, error):
+        await connection.run("ROLLBACK")
+        if error.code in READ_ONLY_CODES:
+            raise AttemptFailedError(Progress.REFUSED, str(error)) from error
+        raise error
+
+    async def _recorded(self, connection, request):
+        await connection.run("ROLLBACK")
+        rows = await connection.run(_find_key_sql(request))
+        if not rows or rows[0][0] != _digest(request.sql):
+            raise UpstreamStatementError(
+                "the request key belongs to another statement; use a new key",
+                ER_DUPLICATE_KEY,
+                "23000",
+            )
+        report = await orders.read_status(connection, self.upstream.name)
+        ok = OkAnswer(int(rows[0][1]), int(rows[0][2]), 0, ORIGIN)
+        return Position(report.log_term, report.received), ok
+
+    # Transactions
+
+    async def _begin(self, request, send_part, opener):
+        is_read_only = request.kind is StatementKind.BEGIN_READ_ONLY
+        if is_read_only:
+            await self._require_fresh(request)
+        else:
+            await self._require_open_primary(request)
+        connection = await self._take_connection(request)
+        try:
+            with self._failing_as(Progress.NOT_SENT), self._until_deadline(request):
+                await connection.run(request.sql)
+        except BaseException:
+            connection.close()
+            self._pool.give_back(connection)
+            raise
+        transaction_id = self._next_transaction_id
+        self._next_transaction_id += 1
+        transaction = Transaction(
+            transaction_id, connection, not self._is_primary(), opener
+        )
+        self._transactions[transaction_id] = transaction
+        end = ResultEnd(
+            upstream=self.upstream.name,
+            is_replica=transaction.is_replica,
+            transaction_id=transaction_id,
+        )
+        await send_part(ResultPart([], [], end))
+
+    async def _execute_in_transaction(self, request, send_part):
+        transaction = self._transactions.get(request.transaction_id)
+        if transaction is None:
+            raise TransactionLostError(
+                "the transaction was rolled back and did not run; begin it again"
+            )
+        is_last = request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+        async with transaction.lock:
+            transaction.used_at_ms = monotonic_ms()
+            try:
+                await self._run_transaction_statement(transaction, request, send_part)
+            except UpstreamStatementError:
+                if is_last:
+                    self._release(transaction)
+                raise
+            except BaseException:
+                self.end_transaction(transaction.transaction_id)
+                raise
+            if is_last:
+                self._release(transaction)
+
+    async def _run_transaction_statement(self, transaction, request, send_part):
+        held = []
+
+        async def hold_part(part):
+            held.append(part)
+
+        is_commit = request.kind is StatementKind.COMMIT
+        is_last = is_commit or request.kind is StatementKind.ROLLBACK
+        end = ResultEnd(
+            upstream=self.upstream.name,
+            is_replica=transaction.is_replica,
+            transaction_id=0 if is_last else transaction.transaction_id,
+        )
+        async with self._admitted(request, WorkClass.SAVE):
+            try:
+                last_part = await self._relay(
+                    transaction.connection,
+                    request,
+                    hold_part if is_commit else send_part,
+                    end,
+                )
+            except AttemptFailedError as error:
+                raise self._transaction_failure(error, is_commit) from error
+        if is_commit and not transaction.is_replica:
+            try:
+                await self._acknowledge(request, last_part.end.position)
+            except AttemptFailedError as error:
+                raise self._transaction_failure(error, is_commit=True) from error
+        for part in [*held, last_part]:
+            await send_part(part)
+
+    def _transaction_failure(self, error, is_commit):
+        if is_commit and error.progress in (Progress.SENT, Progress.STREAMING):
+            return OutcomeUnknownError(
+                f"the commit was sent but {error.reason}; read the records to learn "
+                "whether it landed"
+            )
+        return TransactionLostError(
+            f"the transaction was rolled back and did not run: {error.reason}; "
+            "begin it again"
+        )
+
+    def _release(self, transaction):
+        """Return the connection of a transaction that ended in order."""
+        if self._transactions.pop(transaction.transaction_id, None) is not None:
+            self._pool.give_back(transaction.connection)
+
+    # Shared steps
+
+    def _state(self):
+        return self._group.state
+
+    def _is_primary(self):
+        return self._group.state.primary == self.upstream.name
+
+    def _applied_position(self):
+        watch = self._group.watch(self.upstream.name)
+        if watch is None or watch.report is None:
+            return ORIGIN
+        return watch.report.applied_position
+
+    def _require_primary(self):
+        if not self._is_primary():
+            raise AttemptFailedError(
+                Progress.REFUSED,
+                f"{self.upstream.name} is not the primary of term {self._state().term}",
+            )
+
+    async def _require_open_primary(self, request):
+        while self._group.is_drained():
+            remaining_s = self._remaining_s(request)
+            with anyio.move_on_after(remaining_s) as scope:
+                await self._group.state_changed.wait()
+            if scope.cancelled_caught:
+                raise self._not_sent("a planned change of primary is under way")
+        self._require_primary()
+        if self._state().phase is Phase.FENCING:
+            raise self._not_sent("the primary is being replaced")
+        is_checked = self._settings.acknowledge == "replica"
+        if is_checked and self._group.is_stalled():
+            raise self._not_sent("no replica confirms saves", retry_after_ms=500)
+
+    def _not_sent(self, reason, retry_after_ms=0):
+        return AttemptFailedError(Progress.NOT_SENT, reason, retry_after_ms)
+
+    def _remaining_s(self, request):
+        return max(0, request.deadline_ms - monotonic_ms()) / 1_000
+
+    @asynccontextmanager
+    async def _slot(self, request, work_class):
+        """Yield a connection while holding a slot of the database."""
+        async with self._admitted(request, work_class):
+            connection = await self._take_connection(request)
+            try:
+                yield connection
+            finally:
+                self._pool.give_back(connection)
+
+    @asynccontextmanager
+    async def _admitted(self, request, work_class):
+        ticket = await self._admit(request, work_class)
+        started_ms = monotonic_ms()
+        try:
+            yield
+        finally:
+            now_ms = monotonic_ms()
+            self._carry_out(self._queue.finish(ticket, now_ms - started_ms, now_ms))
+
+    async def _admit(self, request, work_class):
+        now_ms = monotonic_ms()
+        decision = self._queue.offer(work_class, request.deadline_ms, now_ms)
+        if isinstance(decision, Refused):
+            raise self._overloaded(decision)
+        if isinstance(decision, Admitted):
+            return decision.ticket
+        ticket = decision.ticket
+        event = anyio.Event()
+        self._queued[ticket.ticket_id] = event
+        try:
+            await event.wait()
+        except BaseException:
+            outcome = self._queued.pop(ticket.ticket_id)
+            if isinstance(outcome, Admitted):
+                self._carry_out(self._queue.finish(ticket, None, monotonic_ms()))
+            else:
+                self._queue.withdraw(ticket)
+            raise
+        outcome = self._queued.pop(ticket.ticket_id)
+        if isinstance(outcome, Refused):
+            raise self._overloaded(outcome)
+        return ticket
+
+    def _carry_out(self, decisions):
+        for decision in decisions:
+            event = self._queued.get(decision.ticket.ticket_id)
+            if event is not None:
+                self._queued[decision.ticket.ticket_id] = decision
+                event.set()
+
+    def _overloaded(self, refused):
+        self._metrics.count("admission.refused")
+        return AttemptFailedError(
+            Progress.NOT_SENT,
+            f"{self.upstream.name} is overloaded: {refused.reason}",
+            retry_after_ms=refused.retry_after_ms,
+            is_overloaded=True,
+        )
+
+    async def _take_connection(self, request):
+        try:
+            with anyio.fail_after(self._remaining_s(request)):
+                return await self._pool.take()
+        except TimeoutError as error:
+            raise self._not_sent("no connection was free before the deadline") from (
+                error
+            )
+        except PermitUnavailableError as error:
+            raise self._not_sent(str(error), retry_after_ms=100) from error
+        except UpstreamUnavailableError as error:
+            raise self._not_sent(str(error)) from error
+
+    def _failing_as(self, progress):
+        return _FailureTranslator(progress, self.upstream.name)
+
+    def _until_deadline(self, request):
+        return anyio.fail_after(self._remaining_s(request))
+
+    async def _relay(self, connection, request, send_part, end):
+        """Run a statement on a connection and pass on all but the last part.
+
+        Returns
+        -------
+        ResultPart
+            The last part; the caller sends it once slot and connection are free.
+        """
+        translator = _FailureTranslator(Progress.SENT, self.upstream.name)
+        with translator, self._until_deadline(request):
+            return await self._relay_parts(
+                connection, request.sql, send_part, end, translator
+            )
+
+    async def _relay_parts(self, connection, sql, send_part, end, translator):
+        columns = []
+        rows = []
+        size_bytes = 0
+        async for piece in connection.execute(sql):
+            if isinstance(piece, OkAnswer):
+                end = end._replace(
+                    affected_rows=piece.affected_rows,
+                    insert_id=piece.insert_id,
+                    warnings=piece.warnings,
+                )
+                if piece.position != ORIGIN:
+                    end = end._replace(position=piece.position)
+            elif isinstance(piece, list):
+                columns = piece
+            else:
+                rows.append(piece)
+                size_bytes += len(piece)
+            if size_bytes >= PART_BYTES:
+                translator.progress = Progress.STREAMING
+                connection.pause_reading()
+                await send_part(ResultPart(columns, rows))
+                connection.resume_reading()
+                columns, rows, size_bytes = [], [], 0
+        return ResultPart(columns, rows, end)
+
+
+class _FailureTranslator:
+    """Turn lost connections and passed deadlines into a failed attempt."""
+
+    def __init__(self, progress, upstream):
+        self.progress = progress
+        self._upstream = upstream
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, exc_type, error, traceback):
+        if isinstance(error, UpstreamUnavailableError):
+            progress = self.progress if error.is_sent else Progress.NOT_SENT
+            raise AttemptFailedError(progress, f"{self._upstream}: {error}") from error
+        if isinstance(error, TimeoutError):
+            raise AttemptFailedError(
+                self.progress, f"{self._upstream} did not answer before the deadline"
+            ) from error
+        if isinstance(error, UpstreamStatementError) and error.code in READ_ONLY_CODES:
+            raise AttemptFailedError(Progress.REFUSED, str(error)) from error
+        return False
+
+
+def _digest(sql):
+    return hashlib.sha256(sql.encode()).hexdigest()
+
+
+def _quote(text):
+    return "'" + text.replace("\\", "\\\\").replace("'", "''") + "'"
+
+
+def _insert_key_sql(request):
+    return (
+        "INSERT INTO bronzescale_request (request_key, statement_digest, "
+        "affected_rows, insert_id) VALUES "
+        f"({_quote(request.request_key)}, '{_digest(request.sql)}', 0, 0)"
+    )
+
+
+def _finish_key_sql(request, ok):
+    return (
+        f"UPDATE bronzescale_request SET affected_rows = {ok.affected_rows}, "
+        f"insert_id = {ok.insert_id} "
+        f"WHERE request_key = {_quote(request.request_key)}"
+    )
+
+
+def _find_key_sql(request):
+    return (
+        "SELECT statement_digest, affected_rows, insert_id FROM bronzescale_request "
+        f"WHERE request_key = {_quote(request.request_key)}"
+    )
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -0,0 +1,468 @@
+"""Exchange thrift frames with other proxies over TCP."""
+
+import logging
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import anyio
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from bronzescale_proxy import wire
+from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.exceptions import PeerUnavailableError
+
+logger = logging.getLogger("bronzescale.peers")
+
+CONNECT_TIMEOUT_S = 1.0
+WINDOW_PARTS = 8
+IDLE_CLOSE_MS = 60_000
+
+
+class FrameStream:
+    """Frames over one TCP stream, counted by the byte.
+
+    Parameters
+    ----------
+    stream : anyio.abc.ByteStream
+        The stream.
+    counter : callable
+        Called with ``(direction, message, size_bytes)`` for each frame.
+    """
+
+    def __init__(self, stream, counter):
+        self._stream = stream
+        self._reader = BufferedByteReceiveStream(stream)
+        self._lock = anyio.Lock()
+        self._counter = counter
+
+    async def send(self, request_id, message):
+        """Send one message.
+
+        Parameters
+        ----------
+        request_id : int
+            Request that it belongs to.
+        message : NamedTuple
+            The message.
+        """
+        frame = wire.encode(request_id, message, monotonic_ms())
+        self._counter("sent", message, len(frame))
+        async with self._lock:
+            await self._stream.send(frame)
+
+    async def receive(self):
+        """Return the next message.
+
+        Returns
+        -------
+        request_id : int
+        message : NamedTuple or None
+
+        Raises
+        ------
+        PeerUnavailableError
+            If the stream ended or holds no frame.
+        """
+        try:
+            header = await self._reader.receive_exactly(wire.HEADER.size)
+            (size_bytes,) = wire.HEADER.unpack(header)
+            if size_bytes > wire.MAX_FRAME_BYTES:
+                raise PeerUnavailableError("a peer sent an oversize frame", True)
+            payload = await self._reader.receive_exactly(size_bytes)
+        except (anyio.IncompleteRead, anyio.EndOfStream, OSError) as error:
+            raise PeerUnavailableError("the peer closed the stream", True) from error
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise PeerUnavailableError("the stream to the peer broke", True) from error
+        request_id, message = wire.decode(payload, monotonic_ms())
+        self._counter("received", message, size_bytes + wire.HEADER.size)
+        return request_id, message
+
+    async def aclose(self):
+        """Close the stream."""
+        await anyio.aclose_forcefully(self._stream)
+
+
+class PeerLink:
+    """Requests to one other proxy over one shared stream.
+
+    Parameters
+    ----------
+    frames : FrameStream
+        The open stream.
+    name : str
+        Name of the other node.
+    """
+
+    def __init__(self, frames, name):
+        self._frames = frames
+        self._name = name
+        self._inboxes = {}
+        self._next_id = 1
+        self.is_open = True
+        self.used_at_ms = monotonic_ms()
+
+    async def pump(self):
+        """Hand incoming messages to their requests until the stream ends."""
+        try:
+            while True:
+                request_id, message = await self._frames.receive()
+                inbox = self._inboxes.get(request_id)
+                if inbox is not None and message is not None:
+                    inbox.send_nowait(message)
+        except PeerUnavailableError:
+            pass
+        finally:
+            self.is_open = False
+            for inbox in list(self._inboxes.values()):
+                inbox.close()
+            with anyio.CancelScope(shield=True):
+                await self._frames.aclose()
+
+    @asynccontextmanager
+    async def request(self, message):
+        """Open a request and yield its exchange.
+
+        Parameters
+        ----------
+        message : NamedTuple
+            The opening message.
+
+        Yields
+        ------
+        PeerExchange
+        """
+        request_id = self._next_id
+        self._next_id += 1
+        self.used_at_ms = monotonic_ms()
+        send_inbox, inbox = anyio.create_memory_object_stream(WINDOW_PARTS + 4)
+        self._inboxes[request_id] = send_inbox
+        exchange = PeerExchange(self, self._frames, request_id, inbox)
+        try:
+            await self._send_first(request_id, message)
+            yield exchange
+        finally:
+            self._inboxes.pop(request_id, None)
+            send_inbox.close()
+            inbox.close()
+            if not exchange.is_finished and self.is_open:
+                await self._cancel(request_id)
+
+    async def _send_first(self, request_id, message):
+        if not self.is_open:
+            raise PeerUnavailableError(f"the stream to {self._name} is closed", False)
+        try:
+            await self._frames.send(request_id, message)
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise PeerUnavailableError(f"sending to {self._name} failed", True) from (
+                error
+            )
+
+    async def _cancel(self, request_id):
+        with anyio.move_on_after(1, shield=True):
+            try:
+                await self._frames.send(request_id, wire.Cancel(is_caller_gone=True))
+            except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self.is_open = False
+
+
+class PeerExchange:
+    """One request in flight: its answers come one by one."""
+
+    def __init__(self, link, frames, request_id, inbox):
+        self._link = link
+        self._frames = frames
+        self._request_id = request_id
+        self._inbox = inbox
+        self.is_finished = False
+
+    async def receive(self):
+        """Return the next message of the answer.
+
+        Returns
+        -------
+        NamedTuple
+
+        Raises
+        ------
+        PeerUnavailableError
+            If the stream ended first.
+        """
+        try:
+            return await self._inbox.receive()
+        except (anyio.EndOfStream, anyio.ClosedResourceError) as error:
+            raise PeerUnavailableError("the peer was lost in mid-answer", True) from (
+                error
+            )
+
+    async def grant(self, parts):
+        """Let the other side send more parts.
+
+        Parameters
+        ----------
+        parts : int
+            How many.
+        """
+        await self._frames.send(self._request_id, wire.Credit(parts))
+
+    def finish(self):
+        """Mark the answer as whole, so that nothing needs to be cancelled."""
+        self.is_finished = True
+
+
+class PeerClient:
+    """Links to other proxies, opened when first used.
+
+    Parameters
+    ----------
+    task_group : anyio.abc.TaskGroup
+        Runs the pumps.
+    counter : callable
+        Called for each frame.
+    """
+
+    def __init__(self, task_group, counter):
+        self._task_group = task_group
+        self._counter = counter
+        self._links = {}
+        self._locks = {}
+
+    async def link(self, node):
+        """Return an open link to a node.
+
+        Parameters
+        ----------
+        node : Node
+            The other proxy.
+
+        Returns
+        -------
+        PeerLink
+
+        Raises
+        ------
+        PeerUnavailableError
+            If it cannot be reached.
+        """
+        link = self._links.get(node.address)
+        if link is not None and link.is_open:
+            return link
+        lock = self._locks.setdefault(node.address, anyio.Lock())
+        async with lock:
+            link = self._links.get(node.address)
+            if link is None or not link.is_open:
+                link = await self._open(node)
+                self._links[node.address] = link
+        return link
+
+    def discard(self, node):
+        """Stop using the current link to a node; the next request opens a new one.
+
+        Parameters
+        ----------
+        node : Node
+            The other proxy.
+        """
+        link = self._links.pop(node.address, None)
+        if link is not None:
+            link.is_open = False
+
+    async def ask(self, node, message, timeout_s):
+        """Send a request that has one answer.
+
+        Parameters
+        ----------
+        node : Node
+            The other proxy.
+        message : NamedTuple
+            The request.
+        timeout_s : float
+            How long to wait.
+
+        Returns
+        -------
+        NamedTuple
+
+        Raises
+        ------
+        PeerUnavailableError
+            If no answer came.
+        """
+        try:
+            with anyio.fail_after(timeout_s):
+                link = await self.link(node)
+                async with link.request(message) as exchange:
+                    answer = await exchange.receive()
+                    exchange.finish()
+                    return answer
+        except TimeoutError as error:
+            raise PeerUnavailableError(
+                f"{node.name} did not answer in time", True
+            ) from error
+
+    async def tell(self, node, message):
+        """Send a message that has no answer; a lost one does no harm.
+
+        Parameters
+        ----------
+        node : Node
+            The other proxy.
+        message : NamedTuple
+            The message.
+        """
+        try:
+            with anyio.move_on_after(CONNECT_TIMEOUT_S):
+                link = await self.link(node)
+                async with link.request(message) as exchange:
+                    exchange.finish()
+        except PeerUnavailableError:
+            logger.debug("peers: %s missed a message.", node.name)
+
+    async def _open(self, node):
+        host, _, port = node.address.rpartition(":")
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise PeerUnavailableError(
+                f"cannot connect to {node.name} at {node.address}", False
+            ) from error
+        link = PeerLink(FrameStream(stream, self._counter), node.name)
+        self._task_group.start_soon(link.pump)
+        return link
+
+
+class PeerServer:
+    """Answer the requests of other proxies.
+
+    Parameters
+    ----------
+    handler : callable
+        ``async (message, channel)`` for each opening message.
+    counter : callable
+        Called for each frame.
+    """
+
+    def __init__(self, handler, counter):
+        self._handler = handler
+        self._counter = counter
+
+    async def serve_stream(self, stream):
+        """Serve one connection until it ends.
+
+        Parameters
+        ----------
+        stream : anyio.abc.ByteStream
+            The connection.
+        """
+        frames = FrameStream(stream, self._counter)
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(frames.aclose)
+            connection = PeerConnection(frames)
+            stack.callback(connection.close)
+            tasks = await stack.enter_async_context(anyio.create_task_group())
+            try:
+                while True:
+                    request_id, message = await frames.receive()
+                    connection.dispatch(tasks, self._handler, request_id, message)
+            except PeerUnavailableError:
+                tasks.cancel_scope.cancel()
+
+
+class PeerConnection:
+    """Requests in flight from one other proxy."""
+
+    def __init__(self, frames):
+        self._frames = frames
+        self._channels = {}
+        self.closed_callbacks = []
+
+    def dispatch(self, tasks, handler, request_id, message):
+        """Hand a message to its request, or open a new one.
+
+        Parameters
+        ----------
+        tasks : anyio.abc.TaskGroup
+            Runs the handlers.
+        handler : callable
+            ``async (message, channel)``.
+        request_id : int
+            Request that the message belongs to.
+        message : NamedTuple or None
+            The message; None for one that this release does not know.
+        """
+        channel = self._channels.get(request_id)
+        if isinstance(message, wire.Credit):
+            if channel is not None:
+                channel.add_credit(message.parts)
+        elif isinstance(message, wire.Cancel):
+            if channel is not None:
+                channel.cancel()
+        else:
+            channel = PeerChannel(self, self._frames, request_id)
+            self._channels[request_id] = channel
+            tasks.start_soon(self._run, handler, message, channel)
+
+    def close(self):
+        """Tell every holder of the connection that it ended."""
+        for callback in self.closed_callbacks:
+            callback()
+        self.closed_callbacks.clear()
+
+    async def _run(self, handler, message, channel):
+        try:
+            with channel.scope:
+                await handler(message, channel)
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            logger.debug("peers: the asker of a request is gone.")
+        finally:
+            self._channels.pop(channel.request_id, None)
+
+
+class PeerChannel:
+    """The answering side of one request, with flow control."""
+
+    def __init__(self, connection, frames, request_id):
+        self.connection = connection
+        self.request_id = request_id
+        self.scope = anyio.CancelScope()
+        self._frames = frames
+        self._credit = WINDOW_PARTS
+        self._credit_added = anyio.Event()
+
+    def add_credit(self, parts):
+        """Allow more parts to be sent.
+
+        Parameters
+        ----------
+        parts : int
+            How many.
+        """
+        self._credit += parts
+        self._credit_added.set()
+
+    def cancel(self):
+        """Stop the handler; its asker gave up."""
+        self.scope.cancel()
+
+    async def send(self, message):
+        """Send one message of the answer.
+
+        Parameters
+        ----------
+        message : NamedTuple
+            The message.
+        """
+        await self._frames.send(self.request_id, message)
+
+    async def send_part(self, part):
+        """Send a part of a result, within the receiver's window.
+
+        Parameters
+        ----------
+        part : ResultPart
+            The part.
+        """
+        while self._credit <= 0:
+            self._credit_added = anyio.Event()
+            await self._credit_added.wait()
+        self._credit -= 1
+        await self.send(part)
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/serving.py
@@ -0,0 +1,109 @@
+"""Answer what other nodes ask of this one."""
+
+import logging
+from functools import singledispatchmethod
+
+from bronzescale_core.exceptions import StatementError
+from bronzescale_core.outcomes import Progress
+from bronzescale_core.statements import StatementRequest
+from bronzescale_proxy import wire
+from bronzescale_proxy.dispatch import answer_head, dump_failure
+from bronzescale_proxy.exceptions import AttemptFailedError
+
+logger = logging.getLogger("bronzescale.serving")
+
+
+class PeerService:
+    """Handler of the messages that open a request.
+
+    Parameters
+    ----------
+    node : NodeRuntime
+        What this node knows.
+    spreader : Spreader
+        Takes objects and heartbeats.
+    """
+
+    def __init__(self, node, spreader):
+        self._node = node
+        self._spreader = spreader
+
+    async def __call__(self, message, channel):
+        """Answer one message.
+
+        Parameters
+        ----------
+        message : NamedTuple
+            The message.
+        channel : PeerChannel
+            Where the answer goes.
+        """
+        await self._answer(message, channel)
+
+    @singledispatchmethod
+    async def _answer(self, message, channel):
+        name = type(message).__name__
+        text = f"{name} is not understood by this release; upgrade it"
+        report = wire.FailureReport("failed", text, progress=Progress.NOT_SENT.value)
+        await channel.send(report)
+
+    @_answer.register
+    async def _(self, message: StatementRequest, channel):
+        owner = self._node.owner(message.service, message.upstream)
+        try:
+            if owner is None:
+                text = f"{message.upstream} is not known to {self._node.settings.node}"
+                raise AttemptFailedError(Progress.NOT_SENT, text)
+            opener = channel.connection
+            self._end_with(opener, owner)
+            await owner.execute(message, channel.send_part, opener)
+        except (AttemptFailedError, StatementError) as error:
+            await channel.send(dump_failure(error))
+
+    def _end_with(self, connection, owner):
+        """Roll back an opener's transactions when its connection ends."""
+        callbacks = connection.closed_callbacks
+        if not any(getattr(each, "owner", None) is owner for each in callbacks):
+            callbacks.append(_EndTransactions(owner, connection))
+
+    @_answer.register
+    async def _(self, message: wire.EndTransaction, channel):
+        for owner in self._node.owners():
+            if owner.upstream.name == message.upstream:
+                owner.end_transaction(message.transaction_id)
+
+    @_answer.register
+    async def _(self, message: wire.HeadRequest, channel):
+        await channel.send(await answer_head(self._node, message))
+
+    @_answer.register
+    async def _(self, message: wire.EvidenceRequest, channel):
+        group = self._node.group(message.service)
+        verdict = "" if group is None else group.evidence(message.term).value
+        settings = self._node.settings
+        await channel.send(
+            wire.EvidenceReply(settings.node, settings.zone, message.term, verdict)
+        )
+
+    @_answer.register
+    async def _(self, message: wire.Heartbeat, channel):
+        await self._spreader.answer_heartbeat(message, channel)
+
+    @_answer.register
+    async def _(self, message: wire.ObjectsRequest, channel):
+        await channel.send(self._spreader.answer_objects(message))
+
+    @_answer.register
+    async def _(self, message: wire.Objects, channel):
+        self._spreader.take_objects(message.objects, message.since, message.revision)
+
+
+class _EndTransactions:
+    """Callback for the end of a peer's connection."""
+
+    def __init__(self, owner, opener):
+        self.owner = owner
+        self._opener = opener
+
+    def __call__(self):
+        self.owner.end_transactions_of(self._opener)
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/spread.py
@@ -0,0 +1,258 @@
+"""Spread the store's objects, the host list and signs of life among the nodes."""
+
+import logging
+import random
+
+import anyio
+
+from bronzescale_core.membership import HEARTBEAT_INTERVAL_MS, HEARTBEAT_TIMEOUT_MS
+from bronzescale_core.objects import StoreObject
+from bronzescale_core.rendezvous import Node, rank_nodes
+from bronzescale_proxy import wire
+from bronzescale_proxy.clock import wall_ms
+from bronzescale_proxy.exceptions import PeerUnavailableError, StoreUnavailableError
+from bronzescale_proxy.store import WATCH_TIMEOUT_MS
+
+logger = logging.getLogger("bronzescale.spread")
+
+WATCHERS_PER_ZONE = 2
+HOSTS_INTERVAL_S = 2.0
+HOSTS_KIND = "hosts"
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 5.0
+PULL_TIMEOUT_S = 2.0
+IDLE_ROLE_CHECK_S = 0.5
+
+
+class Spreader:
+    """Keep this node's objects and membership up to date.
+
+    Parameters
+    ----------
+    node : NodeRuntime
+        What this node knows.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        self._settings = node.settings
+        self._random = random.Random(f"{node.settings.node}:{wall_ms()}")
+        self._retry_s = RETRY_MIN_S
+        self._tasks = None
+        self.is_store_answering = True
+        self.store_problem = ""
+
+    async def run(self):
+        """Run until cancelled."""
+        async with anyio.create_task_group() as self._tasks:
+            self._tasks.start_soon(self._watch_store)
+            self._tasks.start_soon(self._poll_hosts)
+            self._tasks.start_soon(self._send_heartbeats)
+
+    def is_watcher(self):
+        """Return whether this node watches the store for its zone.
+
+        Returns
+        -------
+        bool
+        """
+        zone = self._settings.zone
+        eligible = self._node.membership.eligible()
+        mates = [node for node in eligible if node.zone == zone]
+        ranked = rank_nodes(f"store-watch/{zone}", mates)[:WATCHERS_PER_ZONE]
+        return any(node.name == self._settings.node for node in ranked)
+
+    async def start_up(self):
+        """Learn the objects, from the peers first and else from the store."""
+        try:
+            await self._fetch_hosts()
+        except StoreUnavailableError as error:
+            self._note_store(error)
+        for peer in self._node.membership.heartbeat_targets():
+            if await self._pull_from(peer, 0):
+                return
+        try:
+            await self._fetch_changes(0)
+        except StoreUnavailableError as error:
+            self._note_store(error)
+
+    # Store
+
+    async def _watch_store(self):
+        while True:
+            if not self.is_watcher():
+                await anyio.sleep(IDLE_ROLE_CHECK_S)
+                continue
+            try:
+                fresh = await self._fetch_changes(WATCH_TIMEOUT_MS)
+                self._note_store(None)
+                self._push_to_zone(fresh)
+            except StoreUnavailableError as error:
+                self._note_store(error)
+                await self._back_off()
+
+    async def _fetch_changes(self, wait_ms):
+        since = self._node.objects.revision
+        changes = await self._node.store.changes(since, wait_ms)
+        return self._node.learn_all(changes.objects, since, changes.revision)
+
+    def _push_to_zone(self, fresh):
+        if not fresh:
+            return
+        zone = self._settings.zone
+        mates = [n for n in self._node.membership.live() if n.zone == zone]
+        self._node.push(fresh, mates)
+
+    async def _back_off(self):
+        """Wait with jitter, so that an outage does not end in a herd."""
+        await anyio.sleep(self._retry_s * self._random.uniform(0.5, 1.5))
+        self._retry_s = min(RETRY_MAX_S, self._retry_s * 2)
+
+    def _note_store(self, error):
+        is_answering = error is None
+        if is_answering:
+            self._retry_s = RETRY_MIN_S
+        if is_answering != self.is_store_answering:
+            state = "answers again" if is_answering else f"is out: {error}"
+            logger.warning("spread: the store %s.", state)
+        self.is_store_answering = is_answering
+        self.store_problem = "" if is_answering else str(error)
+
+    # Hosts
+
+    async def _poll_hosts(self):
+        while True:
+            if self.is_watcher():
+                try:
+                    await self._fetch_hosts()
+                except StoreUnavailableError as error:
+                    self._note_store(error)
+            await anyio.sleep(HOSTS_INTERVAL_S * self._random.uniform(0.8, 1.2))
+
+    async def _fetch_hosts(self):
+        hosts = await self._node.store.hosts(self._settings.zone)
+        document = {
+            "nodes": sorted(list(node) for node in hosts.nodes),
+            "leaving_nodes": sorted(hosts.leaving_nodes),
+            "leaving_upstreams": sorted(hosts.leaving_upstreams),
+        }
+        zone = self._settings.zone
+        known = self._node.objects.get(HOSTS_KIND, zone)
+        if known is not None and known.value == document:
+            return
+        item = StoreObject(HOSTS_KIND, zone, wall_ms(), document)
+        self.take_objects([item])
+        self._push_to_zone([item])
+
+    def take_objects(self, objects, since=-1, revision=-1):
+        """Take objects from the store or a peer.
+
+        Parameters
+        ----------
+        objects : list of StoreObject
+            The objects.
+        since, revision : int, default=-1
+            Revisions between which they are complete; -1 if they are not.
+        """
+        if revision >= 0:
+            fresh = self._node.learn_all(objects, since, revision)
+        else:
+            fresh = [each for each in objects if self._node.learn(each)]
+        for each in fresh:
+            if each.kind == HOSTS_KIND and each.name == self._settings.zone:
+                self._apply_hosts(each.value)
+
+    def _apply_hosts(self, document):
+        nodes = [Node(*fields) for fields in document["nodes"]]
+        leaving = set(document["leaving_nodes"])
+        self._node.membership.take_list(nodes, leaving)
+        self._node.leaving_upstreams = set(document["leaving_upstreams"])
+        self._node.arrange()
+
+    # Heartbeats
+
+    async def _send_heartbeats(self):
+        while True:
+            for target in self._node.membership.heartbeat_targets():
+                self._tasks.start_soon(self._send_heartbeat, target)
+            jitter = self._random.uniform(0.9, 1.1)
+            await anyio.sleep(HEARTBEAT_INTERVAL_MS / 1_000 * jitter)
+
+    async def _send_heartbeat(self, target):
+        timeout_s = HEARTBEAT_TIMEOUT_MS / 1_000
+        try:
+            reply = await self._node.peers.ask(target, self._heartbeat(), timeout_s)
+        except PeerUnavailableError as error:
+            self._node.peers.discard(target)
+            if self._node.membership.missed(target.name):
+                logger.info("spread: %s is down: %s.", target.name, error)
+                self._node.arrange()
+            return
+        if isinstance(reply, wire.Heartbeat):
+            await self.hear(reply)
+
+    def _heartbeat(self):
+        membership = self._node.membership
+        status = membership.standings()[0].status
+        revision = self._node.objects.revision
+        return wire.Heartbeat(
+            membership.own, status, revision, membership.outgoing_rumors()
+        )
+
+    async def answer_heartbeat(self, heartbeat, channel):
+        """Answer a heartbeat and learn from it.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            What came.
+        channel : PeerChannel
+            Where the answer goes.
+        """
+        await channel.send(self._heartbeat())
+        await self.hear(heartbeat)
+
+    async def hear(self, heartbeat):
+        """Learn from a heartbeat or its answer.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            What came.
+        """
+        changed = self._node.membership.heard(
+            heartbeat.node, heartbeat.status, heartbeat.rumors
+        )
+        if changed:
+            self._node.arrange()
+        revision = self._node.objects.revision
+        if heartbeat.revision > revision:
+            await self._pull_from(heartbeat.node, revision)
+
+    async def _pull_from(self, peer, since):
+        try:
+            reply = await self._node.peers.ask(
+                peer, wire.ObjectsRequest(since), PULL_TIMEOUT_S
+            )
+        except PeerUnavailableError:
+            return False
+        if not isinstance(reply, wire.Objects) or not reply.objects:
+            return False
+        self.take_objects(reply.objects, reply.since, reply.revision)
+        return True
+
+    def answer_objects(self, request):
+        """Return the objects that a peer asks for.
+
+        Parameters
+        ----------
+        request : ObjectsRequest
+            What it knows already.
+
+        Returns
+        -------
+        Objects
+        """
+        objects = self._node.objects
+        found = objects.since(request.since)
+        return wire.Objects(request.since, objects.revision, found)
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/traces.py
@@ -0,0 +1,69 @@
+"""Record the events and actions of the failover machines, a line of JSON each."""
+
+import json
+from enum import Enum
+
+
+def to_plain(value):
+    """Return a JSON value for an event or action.
+
+    Parameters
+    ----------
+    value : object
+        A named tuple, enum, sequence or plain value.
+
+    Returns
+    -------
+    object
+    """
+    if isinstance(value, Enum):
+        return value.value
+    if hasattr(value, "_asdict"):
+        fields = {name: to_plain(each) for name, each in value._asdict().items()}
+        return {"type": type(value).__name__, **fields}
+    if isinstance(value, (list, tuple)):
+        return [to_plain(each) for each in value]
+    return value
+
+
+class TraceWriter:
+    """Write a trace to a file that an operator can send in.
+
+    Parameters
+    ----------
+    stream : file object or None
+        Where the lines go; None records nothing.
+    node : str
+        Name of this node.
+    """
+
+    def __init__(self, stream, node):
+        self._stream = stream
+        self._node = node
+
+    def __call__(self, service, event, actions, now_ms):
+        """Record one event with the actions that it caused.
+
+        Parameters
+        ----------
+        service : str
+            Name of the group's service.
+        event : NamedTuple
+            The event.
+        actions : list of NamedTuple
+            The actions.
+        now_ms : int
+            Time of the event.
+        """
+        is_quiet = type(event).__name__ in ("Tick", "PrimaryFinding") and not actions
+        if self._stream is None or is_quiet:
+            return
+        line = {
+            "now_ms": now_ms,
+            "node": self._node,
+            "service": service,
+            "event": to_plain(event),
+            "actions": to_plain(actions),
+        }
+        self._stream.write(json.dumps(line) + "\n")
+        self._stream.flush()
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/upstream.py
@@ -0,0 +1,527 @@
+"""Hold connections to one database: framing, permits, pool.
+
+Every connection holds a permit, a named lock at the database itself, so that the
+connections of all nodes together stay within its limit whatever they believe of
+each other. The lock ends with the connection.
+"""
+
+import logging
+from collections import deque
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+from asyncmy import errors as asyncmy_errors
+from asyncmy.connection import Connection as AsyncmyConnection
+
+from bronzescale_core.exceptions import UpstreamStatementError
+from bronzescale_core.positions import ORIGIN, Position
+from bronzescale_proxy.exceptions import (
+    PermitUnavailableError,
+    UpstreamUnavailableError,
+)
+
+logger = logging.getLogger("bronzescale.upstream")
+
+COM_QUERY = 0x03
+COM_PING = 0x0E
+CONNECT_TIMEOUT_S = 1.0
+PING_TIMEOUT_S = 0.5
+SLACK_CONNECTIONS = 2
+MAX_CONTROL_CONNECTIONS = 6
+IDLE_CHECK_AFTER_MS = 2_000
+ER_CON_COUNT = 1040
+_POSITION_MARK = b"bronzescale position "
+_LOST_CODES = range(2000, 2100)
+
+
+class PermitRange(NamedTuple):
+    """Numbers of the named locks that a use of connections may take.
+
+    Parameters
+    ----------
+    first : int
+        First number.
+    count : int
+        How many numbers.
+    """
+
+    first: int
+    count: int
+
+
+class PermitPlan(NamedTuple):
+    """How a database's connections are divided.
+
+    Parameters
+    ----------
+    work : PermitRange
+        Connections that run callers' statements.
+    control : PermitRange
+        Connections that watch and sample.
+    """
+
+    work: PermitRange
+    control: PermitRange
+
+
+def plan_permits(max_connections):
+    """Divide a database's connections between work, control and slack.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that the database accepts.
+
+    Returns
+    -------
+    PermitPlan
+    """
+    control = min(MAX_CONTROL_CONNECTIONS, max_connections // 3)
+    work = max_connections - control - SLACK_CONNECTIONS
+    return PermitPlan(PermitRange(0, work), PermitRange(work, control))
+
+
+class OkAnswer(NamedTuple):
+    """A statement that changed something, or nothing, and has no rows.
+
+    Parameters
+    ----------
+    affected_rows, insert_id, warnings : int
+        As the database reports them.
+    position : Position
+        Where the change was logged; the origin if nothing was committed.
+    """
+
+    affected_rows: int
+    insert_id: int
+    warnings: int
+    position: Position
+
+
+class UpstreamConnection:
+    """One connection to a database.
+
+    Parameters
+    ----------
+    raw : asyncmy.connection.Connection
+        The open connection.
+    permit : int
+        Number of the named lock that it holds; -1 for none.
+    """
+
+    def __init__(self, raw, permit):
+        self._raw = raw
+        self.permit = permit
+        self.is_clean = True
+        self.used_at_ms = 0
+
+    async def execute(self, sql):
+        """Run a statement and yield its answer piece by piece.
+
+        Parameters
+        ----------
+        sql : str
+            The statement.
+
+        Yields
+        ------
+        OkAnswer or list of bytes
+            An `OkAnswer` alone, or the column packets and then each row packet.
+
+        Raises
+        ------
+        UpstreamStatementError
+            If the database answered with an error.
+        UpstreamUnavailableError
+            If the connection was lost; it must not be used again.
+        """
+        self.is_clean = False
+        transport = self._raw._transport
+        if transport is None or transport.is_closing():
+            raise UpstreamUnavailableError("the connection was closed", is_sent=False)
+        try:
+            await self._raw._execute_command(COM_QUERY, sql)
+            first = await self._raw.read_packet()
+            data = first.get_all_data()
+            if data[0] == 0x00:
+                yield _parse_ok(first)
+            else:
+                yield await self._read_columns(first.read_length_encoded_integer())
+                async for row in self._read_rows():
+                    yield row
+            self.is_clean = True
+        except asyncmy_errors.Error as error:
+            raise self._translate(error) from error
+        except (OSError, RuntimeError) as error:
+            raise UpstreamUnavailableError(f"connection lost: {error}") from error
+
+    async def run(self, sql):
+        """Run a statement and return its whole answer.
+
+        Parameters
+        ----------
+        sql : str
+            The statement; its answer must be small.
+
+        Returns
+        -------
+        OkAnswer or list of tuple of str
+            The rows as text.
+        """
+        columns = None
+        rows = []
+        async for piece in self.execute(sql):
+            if isinstance(piece, OkAnswer):
+                return piece
+            if columns is None:
+                columns = piece
+            else:
+                rows.append(decode_text_row(piece, len(columns)))
+        return rows
+
+    async def ping(self):
+        """Raise unless the database answers on this connection in time."""
+        self.is_clean = False
+        try:
+            with anyio.fail_after(PING_TIMEOUT_S):
+                await self._raw._execute_command(COM_PING, b"")
+                await self._raw.read_packet()
+        except (asyncmy_errors.Error, OSError, RuntimeError, TimeoutError) as error:
+            raise UpstreamUnavailableError("the connection went silent") from error
+        self.is_clean = True
+
+    def pause_reading(self):
+        """Let the database's answer wait in the network while a caller is slow."""
+        transport = self._raw._transport
+        if transport is not None and not transport.is_closing():
+            transport.pause_reading()
+
+    def resume_reading(self):
+        """Take more of the database's answer."""
+        transport = self._raw._transport
+        if transport is not None and not transport.is_closing():
+            transport.resume_reading()
+
+    def close(self):
+        """Close at once; the database ends what it was doing and frees the permit."""
+        self.is_clean = False
+        transport = self._raw._transport
+        if transport is not None:
+            transport.abort()
+        self._raw.close()
+
+    async def _read_columns(self, count):
+        columns = []
+        for _ in range(count):
+            packet = await self._raw.read_packet()
+            columns.append(packet.get_all_data())
+        if not self._raw._deprecate_eof:
+            await self._raw.read_packet()
+        return columns
+
+    async def _read_rows(self):
+        limit = 0xFFFFFF if self._raw._deprecate_eof else 9
+        while True:
+            packet = await self._raw.read_packet()
+            data = packet.get_all_data()
+            if data[0] == 0xFE and len(data) < limit:
+                return
+            yield data
+
+    def _translate(self, error):
+        code = error.args[0] if error.args else 0
+        text = str(error.args[1]) if len(error.args) > 1 else str(error)
+        is_lost = not isinstance(code, int) or code in _LOST_CODES or code == 0
+        if is_lost or isinstance(error, asyncmy_errors.InterfaceError):
+            return UpstreamUnavailableError(f"connection lost: {text}")
+        if "sequence number" in text:
+            return UpstreamUnavailableError("an answer belonged to another statement")
+        self.is_clean = True
+        sqlstate = getattr(error, "sqlstate", None) or "HY000"
+        return UpstreamStatementError(text, code, sqlstate)
+
+
+def _parse_ok(packet):
+    packet.advance(1)
+    affected_rows = packet.read_length_encoded_integer()
+    insert_id = packet.read_length_encoded_integer()
+    packet.read_uint16()
+    warnings = packet.read_uint16()
+    data = packet.get_all_data()
+    at = data.find(_POSITION_MARK)
+    position = ORIGIN
+    if at >= 0:
+        term, _, offset = data[at + len(_POSITION_MARK) :].partition(b":")
+        position = Position(int(term), int(offset))
+    return OkAnswer(affected_rows, insert_id, warnings, position)
+
+
+def decode_text_values(data, count):
+    """Split a text protocol row into its values.
+
+    Parameters
+    ----------
+    data : bytes
+        The row packet.
+    count : int
+        Columns of the result.
+
+    Returns
+    -------
+    list of bytes or None
+    """
+    values = []
+    at = 0
+    for _ in range(count):
+        size = data[at]
+        at += 1
+        if size == 0xFB:
+            values.append(None)
+            continue
+        if size >= 0xFC:
+            width = {0xFC: 2, 0xFD: 3, 0xFE: 8}[size]
+            size = int.from_bytes(data[at : at + width], "little")
+            at += width
+        values.append(data[at : at + size])
+        at += size
+    return values
+
+
+def decode_text_row(data, count):
+    """Return the values of a text protocol row as text.
+
+    Parameters
+    ----------
+    data : bytes
+        The row packet.
+    count : int
+        Columns of the result.
+
+    Returns
+    -------
+    tuple of str or None
+    """
+    values = decode_text_values(data, count)
+    return tuple(None if value is None else value.decode() for value in values)
+
+
+class UpstreamConnector:
+    """Open connections to one database.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        The database.
+    settings : Settings
+        Login and names of this node.
+    """
+
+    def __init__(self, upstream, settings):
+        host, _, port = upstream.address.rpartition(":")
+        self._upstream = upstream
+        self._host = host
+        self._port = int(port)
+        self._settings = settings
+
+    async def open(self, permits):
+        """Open a connection that holds a permit of a range.
+
+        Parameters
+        ----------
+        permits : PermitRange or None
+            Numbers to take a permit from; None for a short order without one.
+
+        Returns
+        -------
+        UpstreamConnection
+
+        Raises
+        ------
+        PermitUnavailableError
+            If every permit of the range is held.
+        UpstreamUnavailableError
+            If the database cannot be reached.
+        """
+        connection = UpstreamConnection(await self._connect(), -1)
+        if permits is None:
+            return connection
+        try:
+            connection.permit = await self._take_permit(connection, permits)
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+    async def _connect(self):
+        raw = AsyncmyConnection(
+            host=self._host,
+            port=self._port,
+            user=self._settings.upstream_user,
+            password=self._settings.upstream_password,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            program_name=f"bronzescale {self._settings.node} {self._settings.zone}",
+            autocommit=None,
+        )
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                await raw.connect()
+        except (asyncmy_errors.Error, OSError, TimeoutError, RuntimeError) as error:
+            raw.close()
+            raise self._connect_error(error) from error
+        return raw
+
+    def _connect_error(self, error):
+        text = str(error)
+        name = self._upstream.name
+        if isinstance(error, asyncmy_errors.Error) and error.args[:1] == (
+            ER_CON_COUNT,
+        ):
+            return PermitUnavailableError(f"{name} has no connection free")
+        cause = error.__cause__ or error.__context__ or error
+        is_refused = isinstance(cause, ConnectionError) or "refused" in text.lower()
+        return UpstreamUnavailableError(f"cannot connect to {name}: {text}", is_refused)
+
+    async def _take_permit(self, connection, permits):
+        numbers = range(permits.first, permits.first + permits.count)
+        branches = " ".join(
+            f"WHEN GET_LOCK('bronzescale.permit.{number}', 0) = 1 THEN {number}"
+            for number in numbers
+        )
+        with anyio.move_on_after(CONNECT_TIMEOUT_S):
+            rows = await connection.run(f"SELECT CASE {branches} ELSE -1 END")
+            permit = int(rows[0][0])
+            if permit >= 0:
+                return permit
+        raise PermitUnavailableError(
+            f"all {permits.count} connection permits of {self._upstream.name} are held"
+        )
+
+
+class ConnectionPool:
+    """Connections of one node to one database, used by one caller at a time.
+
+    Parameters
+    ----------
+    connector : UpstreamConnector
+        Opens connections.
+    permits : PermitRange
+        Permits for this use; their count bounds the pool.
+    clock_ms : callable
+        Return the current time.
+    """
+
+    def __init__(self, connector, permits, clock_ms):
+        self._connector = connector
+        self._permits = permits
+        self._clock_ms = clock_ms
+        self._idle = deque()
+        self._waiters = deque()
+        self._held = 0
+        self._opening = 0
+        self._is_closed = False
+        self.opened_total = 0
+        self.discarded_total = 0
+
+    @property
+    def size(self):
+        """Return how many connections are open or being opened."""
+        return len(self._idle) + self._held + self._opening
+
+    @asynccontextmanager
+    async def lease(self):
+        """Yield a connection; it returns to the pool only when provably clean.
+
+        Yields
+        ------
+        UpstreamConnection
+        """
+        connection = await self.take()
+        try:
+            yield connection
+        finally:
+            self.give_back(connection)
+
+    async def take(self):
+        """Take a connection out of the pool, opening one if need be.
+
+        Returns
+        -------
+        UpstreamConnection
+        """
+        while True:
+            connection = await self._take_idle()
+            if connection is not None:
+                return connection
+            if self.size < self._permits.count:
+                return await self._open()
+            event = anyio.Event()
+            self._waiters.append(event)
+            try:
+                await event.wait()
+            finally:
+                if event in self._waiters:
+                    self._waiters.remove(event)
+
+    def give_back(self, connection):
+        """Return a connection; close it unless it is provably clean.
+
+        Parameters
+        ----------
+        connection : UpstreamConnection
+            What `take` returned.
+        """
+        self._held -= 1
+        if connection.is_clean and not self._is_closed:
+            connection.used_at_ms = self._clock_ms()
+            self._idle.append(connection)
+        else:
+            self.discarded_total += 1
+            connection.close()
+        self._wake()
+
+    def close_idle(self):
+        """Close the connections that nobody uses."""
+        while self._idle:
+            self._idle.popleft().close()
+
+    def close(self):
+        """Close idle connections now and the others when they come back."""
+        self._is_closed = True
+        self.close_idle()
+        self._wake()
+
+    async def _take_idle(self):
+        while self._idle:
+            connection = self._idle.pop()
+            self._held += 1
+            if self._clock_ms() - connection.used_at_ms < IDLE_CHECK_AFTER_MS:
+                return connection
+            try:
+                await connection.ping()
+                return connection
+            except UpstreamUnavailableError:
+                logger.info("upstream: closed a connection that went silent.")
+                self.give_back(connection)
+                self.close_idle()
+            except BaseException:
+                self.give_back(connection)
+                raise
+        return None
+
+    async def _open(self):
+        if self._is_closed:
+            raise UpstreamUnavailableError("the pool is closed")
+        self._opening += 1
+        try:
+            connection = await self._connector.open(self._permits)
+        finally:
+            self._opening -= 1
+            self._wake()
+        self.opened_total += 1
+        self._held += 1
+        return connection
+
+    def _wake(self):
+        if self._waiters:
+            self._waiters.popleft().set()
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for databases and platform, the demo fleet and the load tool."""
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/engine.py
@@ -0,0 +1,245 @@
+"""Hold one copy of a database group: SQL in memory behind a replicated log."""
+
+import itertools
+import re
+import sqlite3
+import time
+from typing import NamedTuple
+
+_serial = itertools.count(1)
+
+READ_ONLY_CODE = 1290
+LOCK_TIMEOUT_CODE = 1205
+DUPLICATE_CODE = 1062
+NO_TABLE_CODE = 1146
+SYNTAX_CODE = 1064
+_AUTO_INCREMENT = re.compile(
+    r"\b(big)?int(eger)?\s+(not\s+null\s+)?auto_increment", re.I
+)
+_FOR_UPDATE = re.compile(r"\s+for\s+(update|share)\s*$", re.I)
+_WRITE = re.compile(r"\s*(insert|update|delete|replace|create|drop|alter)\b", re.I)
+REQUEST_TABLE_SQL = (
+    "CREATE TABLE IF NOT EXISTS bronzescale_request ("
+    "request_key VARCHAR(128) PRIMARY KEY, statement_digest CHAR(64) NOT NULL, "
+    "affected_rows BIGINT NOT NULL, insert_id BIGINT NOT NULL, "
+    "created_at TIMESTAMP DEFAULT CURRENT_TIMESTAMP)"
+)
+
+
+class EngineError(Exception):
+    """An error that the database reports to its client.
+
+    Parameters
+    ----------
+    message : str
+        The text.
+    code : int
+        MySQL's error number.
+    sqlstate : str
+        Five characters.
+    """
+
+    def __init__(self, message, code, sqlstate="HY000"):
+        super().__init__(message)
+        self.code = code
+        self.sqlstate = sqlstate
+
+
+class BusyError(Exception):
+    """Another transaction holds the lock; try again."""
+
+
+class LogEntry(NamedTuple):
+    """One committed transaction.
+
+    Parameters
+    ----------
+    term : int
+        Term of the primary that wrote it.
+    offset : int
+        Place in the log.
+    statements : tuple of str
+        What it ran; empty for the start of a term.
+    """
+
+    term: int
+    offset: int
+    statements: tuple
+
+
+class Tables:
+    """The tables of one copy, in memory, shared by its sessions."""
+
+    def __init__(self):
+        self._uri = f"file:/bronzescale-{next(_serial)}-{time.time_ns()}?vfs=memdb"
+        self._writer = self.connect()
+        self._writer.execute(REQUEST_TABLE_SQL)
+
+    def connect(self):
+        """Return a connection of its own for one session.
+
+        Returns
+        -------
+        sqlite3.Connection
+        """
+        connection = sqlite3.connect(
+            self._uri, uri=True, isolation_level=None, check_same_thread=False
+        )
+        connection.execute("PRAGMA busy_timeout = 0")
+        connection.create_function("NOW", 0, _now)
+        return connection
+
+    def apply(self, statements):
+        """Run the statements of one log entry.
+
+        Parameters
+        ----------
+        statements : tuple of str
+            The statements.
+        """
+        self._writer.execute("BEGIN IMMEDIATE")
+        for sql in statements:
+            self._writer.execute(translate(sql))
+        self._writer.execute("COMMIT")
+
+    def close(self):
+        """Release the memory."""
+        self._writer.close()
+
+
+class TableSession:
+    """SQL of one session and what its open transaction changed.
+
+    Parameters
+    ----------
+    tables : Tables
+        The copy's tables.
+    """
+
+    def __init__(self, tables):
+        self.tables = tables
+        self._connection = tables.connect()
+        self.is_open = False
+        self.changes = []
+
+    def begin(self):
+        """Open a transaction."""
+        self.rollback()
+        self.is_open = True
+
+    def rollback(self):
+        """Drop the open transaction."""
+        if self._connection.in_transaction:
+            self._connection.execute("ROLLBACK")
+        self.is_open = False
+        self.changes = []
+
+    def execute(self, sql):
+        """Run one statement.
+
+        Parameters
+        ----------
+        sql : str
+            The statement.
+
+        Returns
+        -------
+        sqlite3.Cursor
+
+        Raises
+        ------
+        BusyError
+            If another transaction holds the lock.
+        EngineError
+            If the statement failed.
+        """
+        is_write = is_write_statement(sql)
+        if is_write and not self._connection.in_transaction:
+            self._run("BEGIN IMMEDIATE")
+        try:
+            cursor = self._run(translate(sql))
+        except EngineError:
+            if not self.is_open and self._connection.in_transaction:
+                self._connection.execute("ROLLBACK")
+            raise
+        if is_write and (cursor.rowcount != 0 or not _is_row_change(sql)):
+            self.changes.append(sql)
+        return cursor
+
+    def commit(self):
+        """Make the changes visible and return them.
+
+        Returns
+        -------
+        tuple of str
+
+        Raises
+        ------
+        BusyError
+            If readers hold the lock.
+        """
+        if self._connection.in_transaction:
+            self._run("COMMIT")
+        changes = tuple(self.changes)
+        self.changes = []
+        self.is_open = False
+        return changes
+
+    def close(self):
+        """Drop the transaction and the connection."""
+        self.rollback()
+        self._connection.close()
+
+    def _run(self, sql):
+        try:
+            return self._connection.execute(sql)
+        except sqlite3.OperationalError as error:
+            text = str(error)
+            if "locked" in text or "busy" in text:
+                raise BusyError() from error
+            if "no such table" in text:
+                raise EngineError(text, NO_TABLE_CODE, "42S02") from error
+            raise EngineError(text, SYNTAX_CODE, "42000") from error
+        except sqlite3.IntegrityError as error:
+            raise EngineError(str(error), DUPLICATE_CODE, "23000") from error
+        except sqlite3.Error as error:
+            raise EngineError(str(error), SYNTAX_CODE, "42000") from error
+
+
+def translate(sql):
+    """Return the statement in the dialect of the tables.
+
+    Parameters
+    ----------
+    sql : str
+        MySQL text.
+
+    Returns
+    -------
+    str
+    """
+    sql = _AUTO_INCREMENT.sub("INTEGER", sql)
+    return _FOR_UPDATE.sub("", sql)
+
+
+def is_write_statement(sql):
+    """Return whether a statement changes tables.
+
+    Parameters
+    ----------
+    sql : str
+        The statement.
+
+    Returns
+    -------
+    bool
+    """
+    return _WRITE.match(sql) is not None
+
+
+def _is_row_change(sql):
+    return sql.lstrip()[:6].lower() in ("insert", "update", "delete", "replac")
+
+
+def _now():
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime())
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/links.py
@@ -0,0 +1,118 @@
+"""Forward TCP between zones with delays, cuts and a byte count."""
+
+import logging
+import time
+from collections import Counter
+
+import anyio
+
+logger = logging.getLogger("standins.links")
+
+CHUNK_BYTES = 64 * 1024
+
+
+class LinkTable:
+    """Delays and cuts between zones, shared by all forwarders.
+
+    Parameters
+    ----------
+    one_way_ms : dict
+        Delay between two zones, keyed by a frozenset of both.
+    """
+
+    def __init__(self, one_way_ms):
+        self.one_way_ms = one_way_ms
+        self.cuts = set()
+        self.bytes = Counter()
+        self.healed = anyio.Event()
+
+    def cut(self, pairs):
+        """Cut pairs of zones off from each other; an empty set heals all.
+
+        Parameters
+        ----------
+        pairs : set of frozenset
+            The pairs.
+        """
+        self.cuts = set(pairs)
+        self.healed.set()
+        self.healed = anyio.Event()
+
+    def delay_s(self, pair):
+        """Return the one-way delay of a pair in seconds."""
+        return self.one_way_ms.get(pair, 0.0) / 1_000
+
+
+class Forwarder:
+    """One way from a zone to a node's listener.
+
+    Parameters
+    ----------
+    table : LinkTable
+        Delays and cuts.
+    from_zone, to_zone : str
+        The zones.
+    target : str
+        IP number and port of the listener.
+    """
+
+    def __init__(self, table, from_zone, to_zone, target):
+        self._table = table
+        self._pair = frozenset((from_zone, to_zone))
+        self._target = target
+        self._listener = None
+        self.address = ""
+
+    async def listen(self):
+        """Listen on a free port."""
+        self._listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = self._listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+
+    async def run(self):
+        """Forward until cancelled."""
+        async with self._listener:
+            await self._listener.serve(self._forward)
+
+    async def _forward(self, stream):
+        await self._pass_cut()
+        host, _, port = self._target.rpartition(":")
+        try:
+            other = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            await anyio.aclose_forcefully(stream)
+            return
+        async with stream, other:
+            async with anyio.create_task_group() as tasks:
+                for source, sink in ((stream, other), (other, stream)):
+                    send, receive = anyio.create_memory_object_stream(1_000)
+                    tasks.start_soon(self._read, source, send, tasks.cancel_scope)
+                    tasks.start_soon(self._write, sink, receive, tasks.cancel_scope)
+
+    async def _read(self, source, send, scope):
+        async with send:
+            try:
+                while True:
+                    data = await source.receive(CHUNK_BYTES)
+                    due_s = time.monotonic() + self._table.delay_s(self._pair)
+                    self._table.bytes[self._pair] += len(data)
+                    await send.send((due_s, data))
+            except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+                await anyio.sleep(self._table.delay_s(self._pair))
+                scope.cancel()
+
+    async def _write(self, sink, receive, scope):
+        async with receive:
+            async for due_s, data in receive:
+                wait_s = due_s - time.monotonic()
+                if wait_s > 0:
+                    await anyio.sleep(wait_s)
+                await self._pass_cut()
+                try:
+                    await sink.send(data)
+                except (anyio.BrokenResourceError, OSError):
+                    scope.cancel()
+
+    async def _pass_cut(self):
+        while self._pair in self._table.cuts:
+            await self._table.healed.wait()
