Add the command line, the process fleet, demo and serve

Cause: operators and newcomers had no way to run or see the whole system. Found on the way: an async generator that yields inside a task group, and exit stacks that are cancelled while they close, left a process spinning on exit; both are gone (callback in place of the generator, shielded closing).

--- /dev/null
+++ b/packages/bronzescale-ctl/src/bronzescale_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators of bronzescale."""
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
@@ -526,6 +526,12 @@
                 for connection in list(self._connections):
                     self._close_if_idle(connection)
                 await anyio.sleep(STOP_POLL_S)
+        self.abort()
+
+    def abort(self):
+        """Close the listener and every connection at once."""
+        if self._server is not None:
+            self._server.close()
         for connection in list(self._connections):
             connection.stream.writer.transport.abort()
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
@@ -65,9 +65,7 @@
 
     async def run(self):
         """Run until a stop is asked for, then stop gracefully."""
-        async with AsyncExitStack() as stack:
-            tasks = await stack.enter_async_context(anyio.create_task_group())
-            stack.callback(tasks.cancel_scope.cancel)
+        async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
             peer_listener = await self._listen("peer", stack)
             admin_listener = await self._listen("admin", stack)
             await self._build(stack, tasks)
@@ -85,12 +83,13 @@
             self.started.set()
             await self._stop_asked.wait()
             await self._stop()
+            tasks.cancel_scope.cancel()
 
     async def _listen(self, name, stack):
         host = getattr(self.settings, f"{name}_host")
         port = getattr(self.settings, f"{name}_port")
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
-        await stack.enter_async_context(listener)
+        stack.push_async_callback(_close_shielded, listener)
         bound = listener.extra(anyio.abc.SocketAttribute.local_port)
         setattr(self, f"{name}_port", bound)
         return listener
@@ -98,7 +97,7 @@
     async def _build(self, stack, tasks):
         settings = self.settings
         client = httpx.AsyncClient(base_url=settings.platform_url, trust_env=False)
-        await stack.enter_async_context(client)
+        stack.push_async_callback(_close_shielded, client)
         self.store = PlatformStore(client)
         own = Node(
             settings.node,
@@ -116,6 +115,7 @@
         self.spreader = Spreader(self.node)
         self.dispatcher = Dispatcher(self.node, self.metrics)
         self.callers = CallerServer(self.node, self.dispatcher, settings, self.metrics)
+        stack.callback(self.callers.abort)
 
     def _open_trace(self, stack):
         if not self.settings.trace_path:
@@ -144,3 +144,9 @@
             while any(not owner.is_idle for owner in self.node.owners()):
                 await anyio.sleep(0.05)
         logger.info("process: stopped.")
+
+
+async def _close_shielded(resource):
+    """Close a resource also while the process is being cancelled."""
+    with anyio.CancelScope(shield=True):
+        await resource.aclose()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
@@ -29,7 +29,6 @@
 
 TICK_S = 0.1
 REPAIR_INTERVAL_MS = 1_000
-HEAD_COALESCE_S = 0.0
 
 
 class GroupRuntime:
@@ -412,11 +411,11 @@
         self._environment.publish(action.state)
 
     async def _ask_evidence(self, action):
-        async for node, zone, verdict in self._environment.ask_evidence(
-            self.service, action.term
-        ):
+        def on_answer(node, zone, verdict):
             self._drive(f.EvidenceReceived(node, zone, action.term, verdict))
 
+        await self._environment.ask_evidence(self.service, action.term, on_answer)
+
     async def _write_group(self, action):
         nonce = action.state.nonce
         store = self._environment.store
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -269,9 +269,14 @@
         DatabaseOwner or None
             None if the declaration in force has no such database.
         """
-        owner = self._owners.get(upstream_name)
+        owner = self._owners.get(upstream_name) or self._make_owner(
+            service, upstream_name
+        )
         if owner is not None:
-            return owner
+            owner.used_at_ms = monotonic_ms()
+        return owner
+
+    def _make_owner(self, service, upstream_name):
         declared = self.service(service)
         if declared is None or self.state(service) is None:
             return None
@@ -307,7 +312,7 @@
             ranked = self.rank(upstream)
             is_first = bool(ranked) and ranked[0].name == self.settings.node
             if is_first and upstream.name not in self._owners:
-                self.owner(service.name, upstream.name)
+                self._make_owner(service.name, upstream.name)
         if service.name in self._groups:
             self._assign(service)
 
@@ -427,8 +432,8 @@
 
     # Evidence
 
-    async def ask_evidence(self, service, term):
-        """Ask the other watchers of a group what they see, and yield answers.
+    async def ask_evidence(self, service, term, on_answer):
+        """Ask the other watchers of a group what they see.
 
         Parameters
         ----------
@@ -436,30 +441,20 @@
             The service.
         term : int
             Term whose primary is in doubt.
-
-        Yields
-        ------
-        tuple of (str, str, Verdict)
-            Node, zone and verdict.
+        on_answer : callable
+            Called with node, zone and `Verdict` of each answer.
         """
-        send, receive = anyio.create_memory_object_stream(64)
-        nodes = [n for n in self.watchers(service) if n.name != self.settings.node]
         request = wire.EvidenceRequest(service.name, term)
 
-        async def ask(node, answers):
-            async with answers:
-                try:
-                    reply = await self.peers.ask(node, request, EVIDENCE_TIMEOUT_S)
-                except PeerUnavailableError:
-                    return
-                if isinstance(reply, wire.EvidenceReply) and reply.verdict:
-                    verdict = Verdict(reply.verdict)
-                    await answers.send((reply.node, reply.zone, verdict))
+        async def ask(node):
+            try:
+                reply = await self.peers.ask(node, request, EVIDENCE_TIMEOUT_S)
+            except PeerUnavailableError:
+                return
+            if isinstance(reply, wire.EvidenceReply) and reply.verdict:
+                on_answer(reply.node, reply.zone, Verdict(reply.verdict))
 
         async with anyio.create_task_group() as tasks:
-            async with send:
-                for node in nodes:
-                    tasks.start_soon(ask, node, send.clone())
-            async with receive:
-                async for answer in receive:
-                    yield answer
+            for node in self.watchers(service):
+                if node.name != self.settings.node:
+                    tasks.start_soon(ask, node)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -81,7 +81,7 @@
         self._queued = {}
         self._transactions = {}
         self._next_transaction_id = 1
-        self.used_at_ms = monotonic_ms()
+        self.used_at_ms = 0
 
     @property
     def pool(self):
@@ -162,7 +162,6 @@
         StatementError
             If the answer is final.
         """
-        self.used_at_ms = monotonic_ms()
         if request.transaction_id:
             await self._execute_in_transaction(request, send_part)
         elif request.kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -358,14 +358,18 @@
             stack.push_async_callback(frames.aclose)
             connection = PeerConnection(frames)
             stack.callback(connection.close)
-            tasks = await stack.enter_async_context(anyio.create_task_group())
-            try:
-                while True:
-                    request_id, message = await frames.receive()
-                    connection.dispatch(tasks, self._handler, request_id, message)
-            except PeerUnavailableError:
+            async with anyio.create_task_group() as tasks:
+                await self._receive(frames, connection, tasks)
                 tasks.cancel_scope.cancel()
 
+    async def _receive(self, frames, connection, tasks):
+        try:
+            while True:
+                request_id, message = await frames.receive()
+                connection.dispatch(tasks, self._handler, request_id, message)
+        except PeerUnavailableError:
+            logger.debug("peers: a peer closed its stream.")
+
 
 class PeerConnection:
     """Requests in flight from one other proxy."""
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/demo.py
@@ -0,0 +1,112 @@
+"""Show the whole path on one machine: make demo."""
+
+import sys
+import time
+from pathlib import Path
+
+import anyio
+import asyncmy
+import cyclopts
+from asyncmy import errors
+
+from bronzescale_standins.processes import FleetOptions, ProcessFleet
+from bronzescale_standins.standin_fleet import ask
+
+READS = 400
+SAVE_EVERY = 20
+LAG_MS = 100.0
+GAP_LIMIT_S = 7.0
+
+app = cyclopts.App(name="demo", help="Write, roam, kill the primary, read on.")
+
+
+@app.default
+def demo(file: Path = Path("examples/linjapartio.toml")):
+    """Run the demo and exit 0 if every promise shown held."""
+    options = FleetOptions(file, proxies=3, lag_ms=LAG_MS, services=1)
+    with ProcessFleet(options) as fleet:
+        anyio.run(_show, fleet)
+
+
+async def _connect(fleet, index, service):
+    host, _, port = fleet.callers()[index].rpartition(":")
+    user = fleet.document["user"][0]["name"]
+    return await asyncmy.connect(
+        host=host, port=int(port), user=user, password="", db=service, autocommit=True
+    )
+
+
+async def _show(fleet):
+    service = fleet.document["service"][0]["name"]
+    first = await _connect(fleet, 0, service)
+    second = await _connect(fleet, 1, service)
+    await ask(first, "CREATE TABLE span (id INT PRIMARY KEY, state VARCHAR(40))")
+    await ask(first, "INSERT INTO span VALUES (1, 'felled')")
+    print("saved through proxy 0; the session reads its write:")
+    print("  ", await ask(first, "SELECT * FROM span"))
+    token = (await ask(first, "SELECT @bronzescale_token"))[0][0]
+    await ask(second, f"SET @bronzescale_token = '{token}'")
+    print(f"the session moved to proxy 1 with its token {token}:")
+    print("  ", await ask(second, "SELECT * FROM span"))
+    share, stale = await _measure_reads(fleet, second)
+    gap_s = await _measure_gap(fleet, service, second)
+    rows = await ask(second, "SELECT state FROM span WHERE id = 1")
+    print("after the primary died the session still reads its writes:")
+    print("  ", rows)
+    print(f"reads served by replicas: {share:.1%} at {LAG_MS:g} ms lag")
+    print(f"stale reads: {stale}")
+    print(f"failover gap: {gap_s:.2f} s")
+    first.close()
+    second.close()
+    if stale or gap_s > GAP_LIMIT_S or rows[0][0] != "cleared":
+        sys.exit("a promise did not hold; see above")
+
+
+async def _measure_reads(fleet, connection):
+    """Read and save in turn; return the replicas' share and the stale reads."""
+    before = _read_counts(fleet)
+    stale = 0
+    value = 0
+    await ask(connection, "INSERT INTO span VALUES (2, '0')")
+    for index in range(READS):
+        if index % SAVE_EVERY == 0:
+            value += 1
+            await ask(connection, f"UPDATE span SET state = '{value}' WHERE id = 2")
+        rows = await ask(connection, "SELECT state FROM span WHERE id = 2")
+        stale += rows[0][0] != str(value)
+    replica, primary = (
+        after - early for after, early in zip(_read_counts(fleet), before, strict=True)
+    )
+    return replica / (replica + primary), stale
+
+
+def _read_counts(fleet):
+    counters = [fleet.dump(name)["counters"] for name in fleet.proxies]
+    names = ("read.replica", "read.primary")
+    return [sum(counter.get(name, 0) for counter in counters) for name in names]
+
+
+async def _measure_gap(fleet, service, connection):
+    """Kill the primary and return the time between two acknowledged saves."""
+    copies = fleet.copies(service)
+    primary = next(name for name, c in copies.items() if c["role"] == "primary")
+    await ask(connection, "UPDATE span SET state = 'cutting' WHERE id = 1")
+    started_s = time.monotonic()
+    fleet.fault(service, copies=[primary], kind="stop")
+    print(f"killed the primary {primary}")
+    while True:
+        try:
+            await ask(connection, "UPDATE span SET state = 'cleared' WHERE id = 1")
+            return time.monotonic() - started_s
+        except errors.Error as error:
+            print("  refused:", error)
+            await anyio.sleep(0.1)
+
+
+def main():
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/processes.py
@@ -0,0 +1,381 @@
+"""Start a whole deployment as separate processes on this machine."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+from typing import NamedTuple
+
+import httpx
+
+from bronzescale_core.declaration import parse_toml
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+
+
+class FleetOptions(NamedTuple):
+    """What to start.
+
+    Parameters
+    ----------
+    file : Path
+        Declaration of the deployment.
+    proxies : int
+        How many proxies, spread over the zones.
+    with_delays : bool
+        Whether the delays between zones are kept.
+    lag_ms : float
+        Replication lag.
+    read_ms, save_ms : float
+        Time that a statement holds its slot.
+    services : int
+        How many of the declared services to start; 0 for all.
+    proxy_flags : tuple of str
+        More flags for every proxy.
+    log_dir : Path or None
+        Where the proxies' logs go; None drops them.
+    """
+
+    file: Path
+    proxies: int = 3
+    with_delays: bool = False
+    lag_ms: float = 0.0
+    read_ms: float = 0.0
+    save_ms: float = 0.0
+    services: int = 0
+    proxy_flags: tuple = ()
+    log_dir: Path | None = None
+
+
+class Child:
+    """One started process that printed its line of JSON.
+
+    Parameters
+    ----------
+    command : list of str
+        The command.
+    log : file object or None
+        Where its standard error goes.
+    """
+
+    def __init__(self, command, log=None):
+        self.process = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=log or subprocess.DEVNULL,
+            text=True,
+            start_new_session=True,
+        )
+        line = self.process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{command[:4]} did not start; see its log")
+        self.ready = json.loads(line)
+
+    def kill(self):
+        """End the process without notice."""
+        self.process.kill()
+        self.process.wait()
+
+    def pause(self):
+        """Freeze the process."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Let a frozen process go on."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def ask_to_stop(self):
+        """Ask for a graceful stop without waiting for it."""
+        if self.process.poll() is None:
+            self.process.terminate()
+
+    def close(self):
+        """End the process gracefully, or by force when it does not follow."""
+        self.ask_to_stop()
+        if self.process.poll() is None:
+            try:
+                self.process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+class ProcessFleet:
+    """A deployment of processes.
+
+    Parameters
+    ----------
+    options : FleetOptions
+        What to start.
+    """
+
+    def __init__(self, options):
+        self._options = options
+        self._stack = ExitStack()
+        self.document = parse_toml(options.file.read_text())
+        if options.services:
+            self.document["service"] = self.document["service"][: options.services]
+        self.regions = {p["zone"]: p["region"] for p in self.document["place"]}
+        self.zones = list(self.regions)
+        self.platform = None
+        self.links = None
+        self.databases = {}
+        self.proxies = {}
+        self._http = None
+
+    def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *details):
+        for child in self.proxies.values():
+            child.ask_to_stop()
+        self._stack.close()
+
+    @property
+    def platform_url(self):
+        """Return the platform's base URL."""
+        return self.platform.ready["url"]
+
+    def callers(self):
+        """Return the addresses that callers connect to.
+
+        Returns
+        -------
+        list of str
+        """
+        return [child.ready["callers"] for child in self.proxies.values()]
+
+    def fault(self, service, **order):
+        """Bring about a fault at the databases of a service.
+
+        Parameters
+        ----------
+        service : str
+            Its name.
+        **order : dict
+            ``copies``, ``kind`` and what the kind needs.
+        """
+        url = self.databases[service].ready["url"]
+        self._http.put(f"{url}/fault", json=order).raise_for_status()
+
+    def copies(self, service):
+        """Return the state of a service's databases.
+
+        Parameters
+        ----------
+        service : str
+            Its name.
+
+        Returns
+        -------
+        dict of str to dict
+        """
+        url = self.databases[service].ready["url"]
+        return self._http.get(f"{url}/state").json()
+
+    def platform_faults(self, **faults):
+        """Switch faults of the platform.
+
+        Parameters
+        ----------
+        **faults : dict
+            Names and values.
+        """
+        url = f"{self.platform_url}/standin/faults"
+        self._http.put(url, json=faults).raise_for_status()
+
+    def cut(self, pairs):
+        """Cut pairs of zones off from each other; needs ``with_delays``.
+
+        Parameters
+        ----------
+        pairs : list of (str, str)
+            The pairs; an empty list heals.
+        """
+        url = self.links.ready["url"]
+        self._http.put(f"{url}/cuts", json={"pairs": pairs}).raise_for_status()
+        for service in self.document["service"]:
+            for upstream in service["upstream"]:
+                zone = upstream["zone"]
+                others = [a if b == zone else b for a, b in pairs if zone in (a, b)]
+                self.fault(
+                    service["name"], copies=[upstream["name"]], kind="cut", zones=others
+                )
+
+    def link_bytes(self):
+        """Return the bytes that crossed between each pair of zones."""
+        return self._http.get(f"{self.links.ready['url']}/meter").json()
+
+    def dump(self, node):
+        """Return the dump of a proxy.
+
+        Parameters
+        ----------
+        node : str
+            Its name.
+
+        Returns
+        -------
+        dict
+        """
+        admin = self.proxies[node].ready["admin"]
+        return self._http.get(f"http://{admin}/dump").json()
+
+    def start_proxy(self, name, zone):
+        """Start one proxy.
+
+        Parameters
+        ----------
+        name : str
+            Name of the node.
+        zone : str
+            Its zone.
+        """
+        command = [
+            str(Path(sys.executable).with_name("bronzescale-proxy")),
+            "--node",
+            name,
+            "--zone",
+            zone,
+            "--region",
+            self.regions[zone],
+            "--platform-url",
+            self._store_url(zone),
+            *self._options.proxy_flags,
+        ]
+        self.proxies[name] = self._start_child(command, self._log(name))
+
+    def list_hosts(self):
+        """Tell the platform which proxies there are, as each zone sees them."""
+        nodes = [
+            {
+                "name": name,
+                "address": child.ready["peers"],
+                "zone": self._zone_of(name),
+                "region": self.regions[self._zone_of(name)],
+                "admin_address": child.ready["admin"],
+            }
+            for name, child in self.proxies.items()
+        ]
+        addresses = {}
+        if self.links is not None:
+            addresses = {zone: self._addresses_from(zone, nodes) for zone in self.zones}
+        self._http.put(
+            f"{self.platform_url}/standin/hosts",
+            json={"nodes": nodes, "addresses": addresses},
+        ).raise_for_status()
+
+    def _start(self):
+        self._http = self._stack.enter_context(
+            httpx.Client(trust_env=False, timeout=10.0)
+        )
+        folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        options = self._options
+        runner = [sys.executable, "-m", "bronzescale_standins.runner"]
+        self.platform = self._start_child([*runner, "platform"])
+        if options.with_delays:
+            self.links = self._start_child([*runner, "links", str(options.file)])
+        for service in self.document["service"]:
+            self._start_databases(runner, service)
+        declaration = folder / "declaration.toml"
+        declaration.write_text(to_toml(self.document))
+        ctl = Path(sys.executable).with_name("bronzescalectl")
+        subprocess.run(
+            [ctl, "apply", declaration, "--wait-s", "0"],
+            check=True,
+            stdout=subprocess.DEVNULL,
+            env={**os.environ, "BRONZESCALE_PLATFORM_URL": self.platform_url},
+        )
+        for index in range(options.proxies):
+            zone = self.zones[index % len(self.zones)]
+            self.start_proxy(f"proxy-{index}-{zone}", zone)
+        self.list_hosts()
+
+    def _start_databases(self, runner, service):
+        options = self._options
+        flags = ["--read-ms", str(options.read_ms), "--save-ms", str(options.save_ms)]
+        flags += ["--lag-ms", str(options.lag_ms)]
+        if options.with_delays:
+            flags.append("--with-delays")
+        command = [*runner, "databases", str(options.file), service["name"], *flags]
+        child = self._start_child(command)
+        self.databases[service["name"]] = child
+        for upstream in service["upstream"]:
+            upstream["address"] = child.ready["addresses"][upstream["name"]]
+
+    def _start_child(self, command, log=None):
+        child = Child(command, log)
+        self._stack.callback(child.close)
+        return child
+
+    def _log(self, name):
+        if self._options.log_dir is None:
+            return None
+        path = self._options.log_dir / f"{name}.log"
+        return self._stack.enter_context(path.open("a"))
+
+    def _zone_of(self, name):
+        return name.split("-", 2)[2]
+
+    def _store_url(self, zone):
+        """Return the platform's URL as a zone reaches it."""
+        if self.links is None or zone == self.zones[0]:
+            return self.platform_url
+        target = self.platform_url.removeprefix("http://")
+        return f"http://{self._forward(zone, self.zones[0], target)}"
+
+    def _addresses_from(self, zone, nodes):
+        return {
+            node["name"]: self._forward(zone, node["zone"], node["address"])
+            for node in nodes
+            if node["zone"] != zone
+        }
+
+    def _forward(self, from_zone, to_zone, target):
+        url = f"{self.links.ready['url']}/forward"
+        order = {"from": from_zone, "to": to_zone, "target": target}
+        return self._http.post(url, json=order).json()["address"]
+
+
+def to_toml(document):
+    """Write a declaration as TOML.
+
+    Parameters
+    ----------
+    document : DeclarationDocument
+        The declaration.
+
+    Returns
+    -------
+    str
+    """
+    lines = []
+    _write_table(document, "", lines)
+    return "\n".join(lines) + "\n"
+
+
+def _write_table(table, path, lines):
+    for name, value in table.items():
+        if not _is_table_list(value):
+            lines.append(f"{name} = {json.dumps(value)}")
+    for name, value in table.items():
+        if _is_table_list(value):
+            inner = f"{path}.{name}" if path else name
+            for each in value:
+                lines.append(f"\n[[{inner}]]")
+                _write_table(each, inner, lines)
+
+
+def _is_table_list(value):
+    return isinstance(value, list) and bool(value) and isinstance(value[0], dict)
--- a/packages/bronzescale-standins/src/bronzescale_standins/standin_fleet.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/standin_fleet.py
@@ -1,7 +1,6 @@
 """Run databases, platform and proxies together inside one process, for tests."""
 
 import copy as copying
-from contextlib import AsyncExitStack
 
 import anyio
 import asyncmy
@@ -76,15 +75,12 @@
         self.groups = {}
         self.servers = {}
         self.proxies = {}
-        self._stack = AsyncExitStack()
-        self._tasks = None
+        self._tasks = anyio.create_task_group()
         self._proxy_scopes = {}
         self.platform_url = ""
 
     async def __aenter__(self):
-        await self._stack.__aenter__()
-        self._tasks = await self._stack.enter_async_context(anyio.create_task_group())
-        self._stack.callback(self._tasks.cancel_scope.cancel)
+        await self._tasks.__aenter__()
         http = HttpServer(self.platform.app())
         started = anyio.Event()
         self._tasks.start_soon(http.run, started)
@@ -98,7 +94,8 @@
     async def __aexit__(self, *details):
         for server in self.servers.values():
             server.stop()
-        return await self._stack.__aexit__(*details)
+        self._tasks.cancel_scope.cancel()
+        return await self._tasks.__aexit__(*details)
 
     async def _start_group(self, service):
         copies = [
