Add the load tool: open schedule, ratios to the stand-in, control cost

Cause: no figure of the targets could be printed by a command. Change: make bench with relay, rate, memory, replicas, failover, acknowledge, overload and control; open arrivals report whether their schedule was delivered. The stand-in shipped its whole log for each entry; it ships what is new.

--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench.py
@@ -0,0 +1,570 @@
+"""Measure the proxy against its stand-ins: make bench."""
+
+import json
+import statistics
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Annotated
+
+import anyio
+import cyclopts
+from asyncmy import errors
+from cyclopts import Parameter
+
+from bronzescale_ctl.client import PlatformClient
+from bronzescale_standins.load import (
+    Target,
+    closed_load,
+    open_load,
+    read_use,
+    reads,
+    saves,
+)
+from bronzescale_standins.processes import FleetOptions, ProcessFleet
+from bronzescale_standins.standin_fleet import ask
+
+AsJson = Annotated[bool, Parameter(name="--json", negative="")]
+DEFAULT_FILE = Path("examples/linjapartio.toml")
+ROWS = 1_000
+SAVE_EVERY = 20
+CONNECT_CHUNK = 50
+
+app = cyclopts.App(name="bench", help="Measure the proxy against its stand-ins.")
+
+
+def _run(measure, fleet, *arguments):
+    return anyio.run(measure, fleet, *arguments, backend_options={"use_uvloop": True})
+
+
+def _show(title, rows, as_json):
+    """Print rows of figures; each is a dict."""
+    if as_json:
+        print(json.dumps({title: rows}))
+        return
+    print(f"\n{title}")
+    for row in rows:
+        print("  " + ", ".join(f"{name} {value}" for name, value in row.items()))
+
+
+def _service(fleet):
+    return fleet.document["service"][0]["name"]
+
+
+def _target(fleet, index=0):
+    user = fleet.document["user"][0]["name"]
+    return Target(fleet.callers()[index], user, _service(fleet))
+
+
+def _direct(fleet):
+    service = fleet.document["service"][0]
+    name = service.get("initial_primary", service["upstream"][0]["name"])
+    upstream = next(u for u in service["upstream"] if u["name"] == name)
+    return Target(upstream["address"], "crew", "")
+
+
+async def _fill(fleet):
+    connection = await _target(fleet).connect()
+    await ask(connection, "CREATE TABLE bench (id INT PRIMARY KEY, v VARCHAR(40))")
+    for start in range(0, ROWS, 200):
+        values = ", ".join(f"({n}, 'row {n}')" for n in range(start, start + 200))
+        await ask(connection, f"INSERT INTO bench VALUES {values}")
+    connection.close()
+    await anyio.sleep(1.0)
+
+
+def _pid(fleet, index=0):
+    return list(fleet.proxies.values())[index].process.pid
+
+
+@app.command
+def relay(
+    file: Path = DEFAULT_FILE, *, duration_s: float = 5.0, as_json: AsJson = False
+):
+    """Measure throughput, latency and processor time for a statement."""
+    rows = []
+    for proxies, index in ((1, 0), (2, 1)):
+        options = FleetOptions(file, proxies=proxies, services=1)
+        with ProcessFleet(options) as fleet:
+            where = "owner on the same node" if index == 0 else "owner on another node"
+            rows += _run(_measure_relay, fleet, index, where, duration_s)
+    _show("relay", rows, as_json)
+
+
+async def _measure_relay(fleet, index, where, duration_s):
+    await _fill(fleet)
+    rows = []
+    target = _target(fleet, index)
+    sources = (("read", reads(ROWS), reads(ROWS)), ("save", saves(), saves(5_000_000)))
+    for kind, through, straight in sources:
+        direct = await closed_load(_direct(fleet), straight, 8, duration_s)
+        before = [read_use(_pid(fleet, i)).cpu_s for i in range(len(fleet.proxies))]
+        proxied = await closed_load(target, through, 8, duration_s)
+        after = [read_use(_pid(fleet, i)).cpu_s for i in range(len(fleet.proxies))]
+        used = [(a - b) / proxied.answered for a, b in zip(after, before, strict=True)]
+        rate = proxied.answered / proxied.elapsed_s
+        direct_rate = direct.answered / direct.elapsed_s
+        rows.append(
+            {
+                "kind": kind,
+                "where": where,
+                "statements_per_s": round(rate),
+                "direct_per_s": round(direct_rate),
+                "ratio": round(rate / direct_rate, 3),
+                "p50_ms": proxied.p50_ms,
+                "p99_ms": proxied.p99_ms,
+                "direct_p50_ms": direct.p50_ms,
+                "direct_p99_ms": direct.p99_ms,
+                "cpu_ms_per_statement": [round(each * 1e3, 4) for each in used],
+                "errors": sum(proxied.errors.values()),
+            }
+        )
+    return rows
+
+
+@app.command
+def rate(
+    file: Path = DEFAULT_FILE,
+    *,
+    per_s: float = 902.0,
+    duration_s: float = 10.0,
+    as_json: AsJson = False,
+):
+    """Offer a node's share at the target, 1 save in 20, on an open schedule."""
+    options = FleetOptions(file, proxies=2, services=1)
+    with ProcessFleet(options) as fleet:
+        _show("rate", _run(_measure_rate, fleet, per_s, duration_s), as_json)
+
+
+async def _measure_rate(fleet, per_s, duration_s):
+    await _fill(fleet)
+    read, save = reads(ROWS), saves()
+    count = Counter()
+
+    def mixed():
+        count["all"] += 1
+        return save() if count["all"] % SAVE_EVERY == 0 else read()
+
+    before = [read_use(_pid(fleet, i)).cpu_s for i in range(2)]
+    report = await open_load(_target(fleet), mixed, 64, per_s, duration_s)
+    after = [read_use(_pid(fleet, i)).cpu_s for i in range(2)]
+    cores = [(a - b) / report.elapsed_s for a, b in zip(after, before, strict=True)]
+    direct = await open_load(_direct(fleet), reads(ROWS), 16, per_s, duration_s)
+    return [
+        {
+            **report._asdict(),
+            "schedule_delivered": report.is_schedule_delivered,
+            "cores_used": [round(each, 3) for each in cores],
+            "direct_p50_ms": direct.p50_ms,
+            "p50_ratio": round(report.p50_ms / direct.p50_ms, 2),
+        }
+    ]
+
+
+@app.command
+def memory(file: Path = DEFAULT_FILE, *, callers: int = 3_500, as_json: AsJson = False):
+    """Measure the memory of idle caller connections."""
+    options = FleetOptions(file, proxies=1, services=1)
+    with ProcessFleet(options) as fleet:
+        _show("memory", _run(_measure_memory, fleet, callers), as_json)
+
+
+async def _measure_memory(fleet, callers):
+    target = _target(fleet)
+    pid = _pid(fleet)
+    await anyio.sleep(1.0)
+    empty_bytes = read_use(pid).rss_bytes
+    rows = []
+    held = []
+    for goal in (1_000, callers):
+        while len(held) < goal:
+            async with anyio.create_task_group() as tasks:
+                for _ in range(min(CONNECT_CHUNK, goal - len(held))):
+                    tasks.start_soon(_hold, target, held)
+        await anyio.sleep(1.0)
+        used = read_use(pid).rss_bytes - empty_bytes
+        rows.append(
+            {
+                "callers": goal,
+                "process_mib_without": round(empty_bytes / 2**20, 1),
+                "kib_per_caller": round(used / goal / 1024, 2),
+            }
+        )
+    for connection in held:
+        connection.close()
+    return rows
+
+
+async def _hold(target, held):
+    held.append(await target.connect())
+
+
+@app.command
+def replicas(
+    file: Path = DEFAULT_FILE,
+    *,
+    lag_ms: float = 100.0,
+    sessions: int = 24,
+    statements: int = 400,
+    as_json: AsJson = False,
+):
+    """Measure the share of reads served by replicas, against three baselines."""
+    options = FleetOptions(file, proxies=3, services=1, lag_ms=lag_ms, with_delays=True)
+    with ProcessFleet(options) as fleet:
+        rows = _run(_measure_replicas, fleet, lag_ms, sessions, statements)
+    _show("replicas", rows, as_json)
+
+
+async def _measure_replicas(fleet, lag_ms, sessions, statements):
+    await _fill(fleet)
+    modes = (
+        ("session", "session", 0.0, False),
+        ("age 5000 ms", "age:5000", 0.0, False),
+        ("baseline: all to the primary", "primary", 0.0, False),
+        ("baseline: wait after a save", "age:60000", 1.5 * lag_ms, False),
+        ("baseline: any replica, retry", "age:60000", 0.0, True),
+    )
+    rows = []
+    for name, consistency, wait_ms, with_retry in modes:
+        tally = Counter()
+        latencies_ms = []
+        before = _read_counts(fleet)
+        crossed = sum(_crossed(fleet).values())
+        async with anyio.create_task_group() as tasks:
+            for number in range(sessions):
+                target = _target(fleet, number % 3)
+                session = _ReplicaSession(
+                    target, number, consistency, wait_ms, with_retry, tally
+                )
+                tasks.start_soon(session.run, statements, latencies_ms)
+        replica, primary = (
+            a - b for a, b in zip(_read_counts(fleet), before, strict=True)
+        )
+        crossed = sum(_crossed(fleet).values()) - crossed
+        rows.append(
+            {
+                "mode": name,
+                "replica_share": round(replica / max(1, replica + primary), 4),
+                "reads": tally["reads"],
+                "stale": tally["stale"],
+                "retries": tally["retries"],
+                "p50_ms": round(statistics.median(latencies_ms), 2),
+                "p99_ms": round(sorted(latencies_ms)[int(len(latencies_ms) * 0.99)], 1),
+                "region_bytes_per_statement": round(
+                    crossed / max(1, tally["reads"] + tally["saves"]), 1
+                ),
+                "errors": tally["errors"],
+            }
+        )
+    return rows
+
+
+class _ReplicaSession:
+    """A session that changes its own row once in 20 statements and reads it."""
+
+    def __init__(self, target, number, consistency, wait_ms, with_retry, tally):
+        self._target = target
+        self._number = number
+        self._consistency = consistency
+        self._wait_ms = wait_ms
+        self._with_retry = with_retry
+        self._tally = tally
+
+    async def run(self, statements, latencies_ms):
+        connection = await self._target.connect()
+        await ask(connection, f"SET @bronzescale_consistency = '{self._consistency}'")
+        value = ""
+        for index in range(statements):
+            if index % SAVE_EVERY == 0:
+                value = f"{self._consistency} {self._number} {index}"
+                await self._save(connection, value)
+            else:
+                started_s = time.monotonic()
+                await self._read(connection, value)
+                latencies_ms.append((time.monotonic() - started_s) * 1e3)
+            await anyio.sleep(0.01)
+        connection.close()
+
+    async def _save(self, connection, value):
+        self._tally["saves"] += 1
+        sql = f"UPDATE bench SET v = '{value}' WHERE id = {self._number}"
+        await ask(connection, sql)
+        if self._wait_ms:
+            await anyio.sleep(self._wait_ms / 1e3)
+
+    async def _read(self, connection, value):
+        sql = f"SELECT v FROM bench WHERE id = {self._number}"
+        self._tally["reads"] += 1
+        for _ in range(20):
+            try:
+                rows = await ask(connection, sql)
+            except errors.Error:
+                self._tally["errors"] += 1
+                return
+            if rows[0][0] == value:
+                return
+            if not self._with_retry:
+                break
+            self._tally["retries"] += 1
+        if self._consistency != "age:5000":
+            self._tally["stale"] += 1
+
+
+def _crossed(fleet):
+    """Return the bytes between regions, by pair of zones."""
+    regions = fleet.regions
+    counted = fleet.link_bytes()
+    return {
+        pair: size
+        for pair, size in counted.items()
+        if len({regions[zone] for zone in pair.split("/")}) == 2
+    }
+
+
+def _read_counts(fleet):
+    counters = [fleet.dump(name)["counters"] for name in fleet.proxies]
+    names = ("read.replica", "read.primary")
+    return [sum(counter.get(name, 0) for counter in counters) for name in names]
+
+
+@app.command
+def failover(file: Path = DEFAULT_FILE, *, rounds: int = 5, as_json: AsJson = False):
+    """Measure the failover gap that a caller sees, over several faults."""
+    rows = []
+    for fault in ("stop", "cut", "store slow", "proxy dead", "silence"):
+        gaps = []
+        for _ in range(rounds):
+            options = FleetOptions(
+                file, proxies=3, services=1, lag_ms=100.0, with_delays=True
+            )
+            with ProcessFleet(options) as fleet:
+                gaps.append(_run(_measure_gap, fleet, fault))
+        rows.append(
+            {
+                "fault": fault,
+                "rounds": rounds,
+                "median_s": round(statistics.median(gaps), 2),
+                "worst_s": round(max(gaps), 2),
+            }
+        )
+    _show("failover", rows, as_json)
+
+
+async def _measure_gap(fleet, fault):
+    """Return the longest time between two acknowledged saves around a fault."""
+    await _fill(fleet)
+    service = _service(fleet)
+    primary = next(
+        name for name, c in fleet.copies(service).items() if c["role"] == "primary"
+    )
+    acknowledged_s = []
+    is_done = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        for number in range(4):
+            tasks.start_soon(
+                _keep_saving, _target(fleet, 1), number, acknowledged_s, is_done
+            )
+        await anyio.sleep(1.0)
+        if fault == "store slow":
+            fleet.platform_faults(delay_ms=300)
+        if fault == "proxy dead":
+            list(fleet.proxies.values())[0].kill()
+        if fault in ("stop", "store slow", "proxy dead"):
+            fleet.fault(service, copies=[primary], kind="stop")
+        elif fault == "cut":
+            zones = fleet.zones
+            fleet.fault(service, copies=[primary], kind="cut", zones=zones)
+        else:
+            fleet.fault(service, copies=[primary], kind="silence")
+        await anyio.sleep(9.0)
+        is_done.set()
+    acknowledged_s.sort()
+    pairs = zip(acknowledged_s, acknowledged_s[1:], strict=False)
+    return max(later - early for early, later in pairs)
+
+
+async def _keep_saving(target, number, acknowledged_s, is_done):
+    connection = await target.connect()
+    index = 0
+    while not is_done.is_set():
+        index += 1
+        key = 10_000_000 * (number + 1) + index
+        try:
+            await ask(connection, f"INSERT INTO bench VALUES ({key}, 'x')")
+            acknowledged_s.append(time.monotonic())
+        except errors.Error:
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.01)
+    connection.close()
+
+
+@app.command
+def acknowledge(
+    file: Path = DEFAULT_FILE, *, duration_s: float = 5.0, as_json: AsJson = False
+):
+    """Measure what a replica's word costs against the primary alone."""
+    rows = []
+    for mode in ("primary", "replica"):
+        options = FleetOptions(
+            file,
+            proxies=3,
+            services=1,
+            with_delays=True,
+            proxy_flags=("--acknowledge", mode),
+        )
+        with ProcessFleet(options) as fleet:
+            rows.append({"mode": mode, **_run(_measure_saves, fleet, duration_s)})
+    _show("acknowledge", rows, as_json)
+
+
+async def _measure_saves(fleet, duration_s):
+    await _fill(fleet)
+    report = await closed_load(_target(fleet), saves(), 8, duration_s)
+    return {
+        "saves_per_s": round(report.answered / report.elapsed_s),
+        "p50_ms": report.p50_ms,
+        "p99_ms": report.p99_ms,
+    }
+
+
+@app.command
+def overload(
+    file: Path = DEFAULT_FILE, *, duration_s: float = 6.0, as_json: AsJson = False
+):
+    """Offer 1, 2 and 5 times the capacity of one database and measure goodput."""
+    rows = []
+    for queue, max_queued in (("deadline queue", 64), ("plain queue", 10_000)):
+        options = FleetOptions(file, proxies=1, services=1, read_ms=10.0, save_ms=10.0)
+        with ProcessFleet(options) as fleet:
+            rows += _run(_measure_overload, fleet, queue, max_queued, duration_s)
+    _show("overload", rows, as_json)
+
+
+async def _measure_overload(fleet, queue, max_queued, duration_s):
+    await _fill(fleet)
+    slots = 3
+    capacity_per_s = slots / 0.0115
+    deadline_ms = 500 if queue == "deadline queue" else 60_000
+    settings = (
+        "SET @bronzescale_consistency = 'primary'",
+        f"SET @bronzescale_deadline_ms = {deadline_ms}",
+    )
+    rows = []
+    for factor in (1, 2, 5):
+        per_s = capacity_per_s * factor
+        report = await open_load(
+            _target(fleet), saves(factor * 10_000_000), 600, per_s, duration_s, settings
+        )
+        rows.append(
+            {
+                "queue": queue,
+                "offered_of_capacity": factor,
+                "offered": report.offered,
+                "answered": report.answered,
+                "goodput_of_capacity": round(
+                    report.answered / duration_s / capacity_per_s, 3
+                ),
+                "p50_ms": report.p50_ms,
+                "p99_ms": report.p99_ms,
+                "refused": sum(report.errors.values()),
+                "schedule_delivered": report.is_schedule_delivered,
+            }
+        )
+    return rows
+
+
+@app.command
+def control(
+    file: Path = DEFAULT_FILE,
+    *,
+    sizes: tuple[int, ...] = (6, 12, 24, 48),
+    services: int = 3,
+    duration_s: float = 12.0,
+    as_json: AsJson = False,
+):
+    """Measure what control costs an idle node at several fleet sizes."""
+    rows = []
+    for size in sizes:
+        options = FleetOptions(file, proxies=size, services=services)
+        with ProcessFleet(options) as fleet:
+            rows.append(_run(_measure_control, fleet, size, duration_s))
+    _show("control", rows, as_json)
+
+
+async def _measure_control(fleet, size, duration_s):
+    await anyio.sleep(6.0 + size * 0.1)
+    before = _control_counts(fleet)
+    started_s = time.monotonic()
+    await anyio.sleep(duration_s)
+    after = _control_counts(fleet)
+    elapsed_s = time.monotonic() - started_s
+    spread_ms = await _measure_spread(fleet)
+    nodes = len(fleet.proxies)
+    databases = sum(len(s["upstream"]) for s in fleet.document["service"])
+    per_node = {
+        name: (after[name] - before[name]) / nodes / elapsed_s for name in after
+    }
+    return {
+        "nodes": size,
+        "databases": databases,
+        "peer_bytes_per_s": round(per_node["bytes"], 1),
+        "peer_messages_per_s": round(per_node["messages"], 2),
+        "probes_per_s": round(per_node["probes"], 3),
+        "core_share": round(per_node["cpu_s"], 5),
+        "rss_mib": round(after["rss"] / nodes / 2**20, 1),
+        "store_calls_per_s_fleet": round(per_node["store"] * nodes, 2),
+        "spread_ms": round(spread_ms),
+    }
+
+
+def _control_counts(fleet):
+    counts = Counter()
+    for name, child in fleet.proxies.items():
+        dump = fleet.dump(name)
+        counters = dump["counters"]
+        for direction in ("sent", "received"):
+            counts["bytes"] += counters.get(f"peer.control.{direction}_bytes", 0)
+            counts["messages"] += counters.get(f"peer.control.{direction}", 0)
+        counts["store"] += dump["store"]["calls"]
+        for group in dump["groups"]:
+            counts["probes"] += sum(copy["probes"] for copy in group["copies"])
+        use = read_use(child.process.pid)
+        counts["cpu_s"] += use.cpu_s
+        counts["rss"] += use.rss_bytes
+    return counts
+
+
+async def _measure_spread(fleet):
+    """Change the declaration and return the time until it is in force everywhere."""
+    client = PlatformClient(fleet.platform_url)
+    found = client.read("declaration", "main")
+    document = {**found.value, "comment": "spread"}
+    started_s = time.monotonic()
+    version = client.update("declaration", "main", document, found.version)
+    waiting = set(fleet.proxies)
+    while waiting:
+        for name in list(waiting):
+            if fleet.dump(name)["generation"] >= version:
+                waiting.discard(name)
+        await anyio.sleep(0.02)
+    return (time.monotonic() - started_s) * 1e3
+
+
+@app.default
+def everything(file: Path = DEFAULT_FILE, *, as_json: AsJson = False):
+    """Run every measurement that takes less than a minute."""
+    relay(file, as_json=as_json)
+    rate(file, as_json=as_json)
+    memory(file, as_json=as_json)
+    replicas(file, as_json=as_json)
+    acknowledge(file, as_json=as_json)
+    overload(file, as_json=as_json)
+
+
+def main():
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bronzescale-standins/src/bronzescale_standins/database.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/database.py
@@ -207,6 +207,8 @@
         if _BEGIN.match(sql):
             tables.begin()
             await self._write_ok(one_way_s)
+        elif sql[:4].lower() == "set ":
+            await self._write_ok(one_way_s)
         elif sql[:6].lower() == "commit":
             await self._commit(tables, one_way_s)
         elif sql[:8].lower() == "rollback":
--- a/packages/bronzescale-standins/src/bronzescale_standins/group.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/group.py
@@ -332,12 +332,13 @@
                     await changed.wait()
                 continue
             generation = copy.stream_generation
-            entries = list(source.log)
+            start = _shared_start(copy.log, source.log)
+            entries = source.log[start:]
             term = source.leading_term
             await anyio.sleep(copy.one_way_s(source.settings.zone))
             is_current = generation == copy.stream_generation
             if is_current and self._can_ship(copy, source):
-                self._receive(copy, term, entries)
+                self._receive(copy, term, start, entries)
 
     def _can_ship(self, copy, source):
         is_leading = source.role == "primary"
@@ -348,15 +349,14 @@
     def _has_news(self, copy, source):
         return copy.received != source.received or copy.log_term != source.log_term
 
-    def _receive(self, copy, term, entries):
+    def _receive(self, copy, term, start, entries):
+        """Take the entries after ``start``, up to which both logs are the same."""
         if copy.promised_term != term or copy.role == "primary":
             return
-        common = _common_prefix(copy.log, entries)
-        if common < copy.received:
-            copy.truncate(common)
-        if len(entries) > common:
-            copy.log.extend(entries[common:])
-            copy.notify()
+        if start < copy.received:
+            copy.truncate(start)
+        copy.log.extend(entries)
+        copy.notify()
 
     async def _apply(self, copy):
         """Apply received entries once their lag has passed."""
@@ -390,9 +390,9 @@
         return (copy.latencies.lag_ms if lag_ms is None else lag_ms) / 1_000
 
 
-def _common_prefix(log, entries):
-    """Return how many leading entries two logs share."""
-    common = min(len(log), len(entries))
-    while common and log[common - 1].term != entries[common - 1].term:
+def _shared_start(log, source):
+    """Return how many leading entries a copy shares with its source."""
+    common = min(len(log), len(source))
+    while common and log[common - 1].term != source[common - 1].term:
         common -= 1
     return common
