--- a/packages/bronzescale-proxy/src/bronzescale_proxy/traces.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/traces.py
@@ -3,6 +3,9 @@
 import json
 from enum import Enum
 
+from bronzescale_core.detection import Verdict
+from bronzescale_core.failover import PrimaryFinding, Tick
+
 
 def to_plain(value):
     """Return a JSON value for an event or action.
@@ -40,6 +43,7 @@
     def __init__(self, stream, node):
         self._stream = stream
         self._node = node
+        self._verdicts = {}
 
     def __call__(self, service, event, actions, now_ms):
         """Record one event with the actions that it caused.
@@ -55,8 +59,7 @@
         now_ms : int
             Time of the event.
         """
-        is_quiet = type(event).__name__ in ("Tick", "PrimaryFinding") and not actions
-        if self._stream is None or is_quiet:
+        if self._stream is None or self._is_quiet(service, event, actions):
             return
         line = {
             "now_ms": now_ms,
@@ -67,3 +70,11 @@
         }
         self._stream.write(json.dumps(line) + "\n")
         self._stream.flush()
+
+    def _is_quiet(self, service, event, actions):
+        """Return whether an event changed nothing that a replay needs."""
+        if isinstance(event, PrimaryFinding):
+            known = self._verdicts.get(service, Verdict.ALIVE)
+            self._verdicts[service] = event.verdict
+            return event.verdict is known and not actions
+        return isinstance(event, Tick) and not actions
