Split the large modules of callers, upstream connections and failover

Cause: callers, upstream and failover had grown towards 700 lines with several jobs each. Change: caller_stream, result_writers, pool and failover_messages hold what their names say; no behaviour changed.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
@@ -14,22 +14,24 @@
 from mysql_mimic.control import LocalControl, TooManyConnections
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.prepared import PreparedStatement
-from mysql_mimic.results import ResultColumn
 from mysql_mimic.session import BaseSession
-from mysql_mimic.stream import ConnectionClosed, MysqlStream
-from mysql_mimic.types import Capabilities, ColumnType
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import Capabilities
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
 from bronzescale_core.exceptions import StatementError
-from bronzescale_proxy.binary_rows import BinaryRowEncoder
+from bronzescale_proxy.caller_stream import BoundedStream
 from bronzescale_proxy.clock import monotonic_ms
 from bronzescale_proxy.placeholders import fill_placeholders, split_placeholders
+from bronzescale_proxy.result_writers import (
+    BinaryWriter,
+    TextWriter,
+    make_error_packet,
+)
 from bronzescale_proxy.sessions import LocalAnswer, SessionState
 
 logger = logging.getLogger("bronzescale.callers")
 
-HEADER_BYTES = 4
-MAX_PACKET_PAYLOAD_BYTES = 0xFFFFFF
 READ_LIMIT_BYTES = 16 * 1024
 STOP_POLL_S = 0.05
 STOP_IDLE_MS = 2_000
@@ -37,90 +39,11 @@
 EXECUTE_HEAD_BYTES = 9
 PARAMETER_COUNT_AVAILABLE = 8
 ER_SHUTDOWN = 1053
-ER_TOO_LARGE = 1153
 ER_NET_READ_TIMEOUT = 1159
 _GLOBAL_VARIABLES = GlobalVariables()
 _SHUTDOWN_TEXT = "not run: the proxy is stopping; connect again to reach another"
 
 
-class BoundedStream:
-    """MySQL packets with a bound on their size.
-
-    The library's own stream is compiled and cannot be inherited from, so this one
-    holds it and reads for it.
-
-    Parameters
-    ----------
-    reader : asyncio.StreamReader
-        Incoming side.
-    writer : asyncio.StreamWriter
-        Outgoing side.
-    max_packet_bytes : int
-        Largest packet accepted.
-    """
-
-    def __init__(self, reader, writer, max_packet_bytes):
-        inner = MysqlStream(reader, writer)
-        self.reader = reader
-        self.writer = writer
-        self.seq = inner.seq
-        self.write = inner.write
-        self.write_many = inner.write_many
-        self.drain = inner.drain
-        self.reset_seq = inner.reset_seq
-        self._max_packet_bytes = max_packet_bytes
-        self.is_reading = False
-
-    async def read(self):
-        """Return the next packet's payload.
-
-        Returns
-        -------
-        bytes
-
-        Raises
-        ------
-        ConnectionClosed
-            If the caller has gone.
-        MysqlError
-            If the packet is out of order or too large.
-        """
-        data = b""
-        while True:
-            payload = await self._read_one(len(data))
-            data = data + payload if data else payload
-            if len(payload) < MAX_PACKET_PAYLOAD_BYTES:
-                return data
-
-    async def _read_one(self, size_so_far):
-        self.is_reading = not size_so_far
-        try:
-            header = await self.reader.readexactly(HEADER_BYTES)
-        except (asyncio.IncompleteReadError, ConnectionError) as error:
-            raise ConnectionClosed() from error
-        finally:
-            self.is_reading = False
-        (word,) = struct.unpack("<I", header)
-        size_bytes = word & MAX_PACKET_PAYLOAD_BYTES
-        sequence = word >> 24
-        expected = next(self.seq)
-        if sequence != expected:
-            raise MysqlError(
-                f"packet {sequence} came in place of {expected}; connect again",
-                ErrorCode.MALFORMED_PACKET,
-            )
-        if size_so_far + size_bytes > self._max_packet_bytes:
-            raise MysqlError(
-                f"the packet is larger than {self._max_packet_bytes} bytes; send less "
-                "at once",
-                ER_TOO_LARGE,
-            )
-        try:
-            return await self.reader.readexactly(size_bytes)
-        except (asyncio.IncompleteReadError, ConnectionError) as error:
-            raise ConnectionClosed() from error
-
-
 class CallerSession(BaseSession):
     """The session that the MySQL library holds for one caller."""
 
@@ -381,136 +304,6 @@
         return make_error_packet(code, "HY000", str(message))
 
 
-def make_error_packet(code, sqlstate, text):
-    """Return the payload of an error packet.
-
-    Parameters
-    ----------
-    code : int
-        Error number.
-    sqlstate : str
-        Five characters.
-    text : str
-        The message.
-
-    Returns
-    -------
-    bytes
-    """
-    head = struct.pack("<BH", 0xFF, code)
-    return head + b"#" + sqlstate.encode() + text.encode()
-
-
-class TextWriter:
-    """Write a result in the text protocol."""
-
-    def __init__(self, connection):
-        self._connection = connection
-        self._stream = connection.stream
-        self.has_started = False
-
-    async def write_part(self, part):
-        """Write a part; return when the caller can take more.
-
-        Parameters
-        ----------
-        part : ResultPart
-            The part.
-        """
-        if part.columns and not self.has_started:
-            self._write_columns(part.columns)
-        if part.rows:
-            await self._write_rows(self.encode_rows(part.rows))
-        if part.end is None:
-            await self._stream.drain()
-
-    def encode_rows(self, rows):
-        """Return the row packets as they go to the caller."""
-        return rows
-
-    async def _write_rows(self, rows):
-        if max(map(len, rows)) < MAX_PACKET_PAYLOAD_BYTES:
-            self._stream.write_many(rows)
-            return
-        for row in rows:
-            await self._stream.write(row, drain=False)
-
-    def _write_columns(self, columns):
-        self.has_started = True
-        count = packets.make_column_count(
-            capabilities=self._connection.capabilities, column_count=len(columns)
-        )
-        self._stream.write_many([count, *columns])
-        if not self._connection.deprecate_eof():
-            self._stream.write_many([self._connection.eof()])
-
-    async def finish(self, end):
-        """Write the end of the answer.
-
-        Parameters
-        ----------
-        end : ResultEnd
-            How the statement ended.
-        """
-        if self.has_started:
-            await self._stream.write(self._connection.ok_or_eof(warnings=end.warnings))
-            return
-        await self._stream.write(
-            self._connection.ok(
-                affected_rows=end.affected_rows,
-                last_insert_id=end.insert_id,
-                warnings=end.warnings,
-            )
-        )
-
-    async def write_local(self, answer):
-        """Write an answer that the proxy gives itself.
-
-        Parameters
-        ----------
-        answer : LocalAnswer
-            The answer.
-        """
-        if not answer.label:
-            await self._stream.write(self._connection.ok())
-            return
-        column = packets.make_column_definition_41(
-            server_charset=self._connection.server_charset,
-            name=answer.label,
-            column_type=ColumnType.VARCHAR,
-        )
-        result_column = ResultColumn(answer.label, ColumnType.VARCHAR)
-        row = packets.make_text_resultset_row([answer.value], [result_column])
-        self._write_columns([column])
-        self._remember_columns([column])
-        self._stream.write_many(self.encode_rows([row]))
-        await self._stream.write(self._connection.ok_or_eof())
-
-    def _remember_columns(self, columns):
-        """Take note of the columns; the text protocol needs none."""
-
-
-class BinaryWriter(TextWriter):
-    """Write a result in the binary protocol of prepared statements."""
-
-    def __init__(self, connection):
-        super().__init__(connection)
-        self._encoder = None
-
-    async def write_part(self, part):
-        """Write a part; return when the caller can take more."""
-        if part.columns and self._encoder is None:
-            self._remember_columns(part.columns)
-        await super().write_part(part)
-
-    def encode_rows(self, rows):
-        """Return the rows in the binary protocol."""
-        return [self._encoder.encode(row) for row in rows]
-
-    def _remember_columns(self, columns):
-        self._encoder = BinaryRowEncoder(columns)
-
-
 class DeclaredIdentities(IdentityProvider):
     """Logins from the declaration in force."""
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
@@ -22,7 +22,7 @@
     StoreUnavailableError,
     UpstreamUnavailableError,
 )
-from bronzescale_proxy.upstream import UpstreamConnector, plan_permits
+from bronzescale_proxy.pool import UpstreamConnector, plan_permits
 from bronzescale_proxy.watch import CopyWatch
 
 logger = logging.getLogger("bronzescale.group")
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -29,7 +29,8 @@
     PermitUnavailableError,
     UpstreamUnavailableError,
 )
-from bronzescale_proxy.upstream import ConnectionPool, OkAnswer, plan_permits
+from bronzescale_proxy.pool import ConnectionPool, plan_permits
+from bronzescale_proxy.upstream import OkAnswer
 
 logger = logging.getLogger("bronzescale.owner")
 
--- a/packages/bronzescale-proxy/tests/test_fleet.py
+++ b/packages/bronzescale-proxy/tests/test_fleet.py
@@ -10,7 +10,7 @@
 from bronzescale_proxy.clock import monotonic_ms
 from bronzescale_proxy.conf import Settings
 from bronzescale_proxy.exceptions import PermitUnavailableError
-from bronzescale_proxy.upstream import (
+from bronzescale_proxy.pool import (
     ConnectionPool,
     UpstreamConnector,
     plan_permits,
--- a/packages/bronzescale-standins/src/bronzescale_standins/mutations.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/mutations.py
@@ -126,7 +126,7 @@
     Mutation(
         "every caller gets its own answer",
         PROXY,
-        "upstream",
+        "pool",
         "if connection.is_clean and not self._is_closed:",
         "if not self._is_closed:",
         "answers_crossed or answers_lost or silent_connections or kill_query",
