Rank owners lazily, keep listed nodes out of rumors, hurry confirmations

Cause: driven alone at 510 nodes and 1,100 databases the core spent 687 ms on ranking all databases, which every node did twice a second, and 4,106 bytes a second on heartbeats, since each listed node became a rumor; both break the control budget. A save waited for the pause between two long polls. Change: two owners are ranked for a database when first needed and kept until the membership changes; a node ranks only its own zone's databases by itself; what the platform's list says is not spread as a rumor; no pause while saves wait.

--- a/packages/bronzescale-core/src/bronzescale_core/membership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/membership.py
@@ -57,6 +57,7 @@
         self._members = {}
         self._rumors = {}
         self._listed = {}
+        self.version = 0
 
     @property
     def own(self):
@@ -66,6 +67,7 @@
     def leave(self):
         """Announce that this process takes no new ownership."""
         self._own_status = Status.LEAVING
+        self.version += 1
         self._spread(Rumor(self._own, Status.LEAVING))
 
     def live(self):
@@ -111,15 +113,16 @@
         """
         self._listed = {node.name: node for node in nodes}
         for node in nodes:
-            self._learn(node, Status.ALIVE)
+            self._learn(node, Status.ALIVE, is_known_to_all=True)
             member = self._members.get(node.name)
             if member is not None:
                 member.node = self._as_listed(member.node)
                 if node.name in leaving:
-                    self._learn(member.node, Status.LEAVING)
+                    self._learn(member.node, Status.LEAVING, is_known_to_all=True)
         for name in set(self._members) - set(self._listed):
             if self._members[name].status is Status.DOWN:
                 del self._members[name]
+                self.version += 1
 
     def heartbeat_targets(self):
         """Return whom to send heartbeats to.
@@ -201,6 +204,7 @@
         if member.misses < MISSES_UNTIL_DOWN:
             return False
         member.status = Status.DOWN
+        self.version += 1
         self._spread(Rumor(member.node, Status.DOWN))
         return True
 
@@ -218,25 +222,31 @@
         self._spread(Rumor(self._own, self._own_status))
         return False
 
-    def _learn(self, node, status, is_direct=False):
+    def _learn(self, node, status, is_direct=False, is_known_to_all=False):
         if node.name == self._own.name:
             return False
         node = self._as_listed(node)
         member = self._members.get(node.name)
         if member is None:
             self._members[node.name] = _Member(node, status)
+        elif not self._is_news(member, node, status, is_direct):
+            return False
+        else:
+            # A first heartbeat only adds the incarnation to what the list said.
+            is_known_to_all |= not member.node.incarnation and status is member.status
+            member.node = node
+            member.status = status
+            member.misses = 0
+        self.version += 1
+        if not is_known_to_all:
             self._spread(Rumor(node, status))
+        return True
+
+    def _is_news(self, member, node, status, is_direct):
+        if (node.incarnation, status) > (member.node.incarnation, member.status):
             return True
-        known = (member.node.incarnation, member.status)
-        is_newer = (node.incarnation, status) > known
         is_back = is_direct and node.incarnation >= member.node.incarnation
-        if not is_newer and not (is_back and member.status is Status.DOWN):
-            return False
-        member.node = node
-        member.status = status
-        member.misses = 0
-        self._spread(Rumor(node, status))
-        return True
+        return is_back and member.status is Status.DOWN
 
     def _as_listed(self, node):
         """Prefer the addresses that the platform gives to this zone."""
--- a/packages/bronzescale-core/src/bronzescale_core/rendezvous.py
+++ b/packages/bronzescale-core/src/bronzescale_core/rendezvous.py
@@ -49,7 +49,7 @@
     return int.from_bytes(digest, "big")
 
 
-def rank_nodes(key, nodes, zone="", region=""):
+def rank_nodes(key, nodes, zone="", region="", limit=None):
     """Order nodes for a task.
 
     Parameters
@@ -60,15 +60,21 @@
         Who is alive.
     zone, region : str
         Where the task is; nodes of the zone come first, then of the region.
+    limit : int, default=None
+        How many to return; farther nodes are not even scored beyond it.
 
     Returns
     -------
     list of Node
         Best first; the same on every process that knows the same nodes.
     """
-
-    def sort_key(node):
+    by_distance = ([], [], [])
+    for node in nodes:
         distance = 0 if node.zone == zone else 1 if node.region == region else 2
-        return distance, -score(key, node.name), node.name
-
-    return sorted(nodes, key=sort_key)
+        by_distance[distance].append(node)
+    ranked = []
+    for group in by_distance:
+        if limit is not None and len(ranked) >= limit:
+            break
+        ranked += sorted(group, key=lambda node: (-score(key, node.name), node.name))
+    return ranked[:limit]
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/dispatch.py
@@ -27,7 +27,6 @@
 
 RETRY_PAUSE_S = 0.05
 RETRY_PAUSE_MAX_S = 0.4
-OWNERS_TO_TRY = 2
 OVERLOAD_RETRY_MS = 200
 GRANT_EVERY = 4
 GIVE_UP_AFTER_S = 0.3
@@ -277,7 +276,7 @@
 
     def _owners_of(self, upstream):
         own = self._node.settings.node
-        ranked = self._node.rank(upstream)[:OWNERS_TO_TRY]
+        ranked = self._node.rank(upstream)
         return [None if node.name == own else node for node in ranked]
 
     async def _send(self, owner, request, collector, opener):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
@@ -296,6 +296,7 @@
             plan_permits(upstream.max_connections).control,
             self._on_report,
             self._on_finding,
+            lambda: self._tracker.waiting > 0,
         )
         scope = anyio.CancelScope()
         self._watches[upstream.name] = watch
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -25,6 +25,7 @@
 SWEEP_S = 0.5
 OWNER_IDLE_MS = 10_000
 EVIDENCE_TIMEOUT_S = 0.6
+OWNERS_TO_TRY = 2
 DECLARATION_KIND = "declaration"
 DECLARATION_NAME = "main"
 GROUP_KIND = "group"
@@ -64,6 +65,9 @@
         self._groups = {}
         self._group_scopes = {}
         self._owners = {}
+        self._ranks = {}
+        self._ranked_version = -1
+        self._arranged = None
         self._tasks = None
         self.changed = anyio.Event()
         self.state_listeners = []
@@ -242,7 +246,7 @@
         ]
 
     def rank(self, upstream):
-        """Order the nodes that may own a database.
+        """Return the nodes that may own a database, best first.
 
         Parameters
         ----------
@@ -252,10 +256,26 @@
         Returns
         -------
         list of Node
+            At most `OWNERS_TO_TRY`; kept until the membership changes.
         """
-        return rank_nodes(
-            upstream.name, self.membership.eligible(), upstream.zone, upstream.region
-        )
+        if self._ranked_version != self.membership.version:
+            self._ranks.clear()
+            self._ranked_version = self.membership.version
+        ranked = self._ranks.get(upstream.name)
+        if ranked is None:
+            ranked = rank_nodes(
+                upstream.name,
+                self.membership.eligible(),
+                upstream.zone,
+                upstream.region,
+                OWNERS_TO_TRY,
+            )
+            self._ranks[upstream.name] = ranked
+        return ranked
+
+    def _is_first(self, upstream):
+        ranked = self.rank(upstream)
+        return bool(ranked) and ranked[0].name == self.settings.node
 
     def owner(self, service, upstream_name):
         """Return this node's owner of a database, made when first asked for.
@@ -295,26 +315,34 @@
         return owner
 
     def arrange(self):
-        """Make the owned databases and watched groups match the declaration."""
+        """Make the owned databases and watched groups match what is known."""
         if self.declaration is None or self._tasks is None:
             return
+        inputs = (self.membership.version, self.declaration, len(self._states))
+        if inputs != self._arranged:
+            self._arranged = inputs
+            self._arrange_services()
+        self._drop_owners()
+
+    def _arrange_services(self):
+        staffed = {node.zone for node in self.membership.eligible()}
         for service in self.declaration.services:
-            if self.state(service.name) is None:
-                continue
-            self._arrange_service(service)
+            if self.state(service.name) is not None:
+                self._arrange_service(service, staffed)
         declared = {s.name for s in self.declaration.services}
         for name in set(self._groups) - declared:
             self._drop_group(name)
-        self._drop_owners()
 
-    def _arrange_service(self, service):
+    def _arrange_service(self, service, staffed):
         group = self._groups.get(service.name)
         if group is not None and group.service != service:
             group.set_service(service)
         for upstream in service.upstreams:
-            ranked = self.rank(upstream)
-            is_first = bool(ranked) and ranked[0].name == self.settings.node
-            if is_first and upstream.name not in self._owners:
+            # Another zone's own nodes come first there, so its ranks are not needed.
+            is_foreign = upstream.zone != self.settings.zone
+            if is_foreign and upstream.zone in staffed:
+                continue
+            if upstream.name not in self._owners and self._is_first(upstream):
                 self._make_owner(service.name, upstream.name)
         if service.name in self._groups:
             self._assign(service)
@@ -369,11 +397,9 @@
         """Close owners that another node ranks above and that are idle here."""
         now_ms = monotonic_ms()
         for name, owner in list(self._owners.items()):
-            ranked = self.rank(owner.upstream)
-            is_first = bool(ranked) and ranked[0].name == self.settings.node
             owner.end_idle_transactions()
             service = self._declared_service_of(owner)
-            if service is not None and is_first:
+            if service is not None and self._is_first(owner.upstream):
                 continue
             if not owner.is_idle:
                 continue
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
@@ -41,14 +41,17 @@
         Called with each `CopyReport`.
     on_finding : callable
         Called with the name and each `Finding`.
+    is_urgent : callable
+        Return whether saves wait for the next report.
     """
 
-    def __init__(self, upstream, connector, permits, on_report, on_finding):
+    def __init__(self, upstream, connector, permits, on_report, on_finding, is_urgent):
         self.upstream = upstream
         self._connector = connector
         self._permits = permits
         self._on_report = on_report
         self._on_finding = on_finding
+        self._is_urgent = is_urgent
         self._detector = FailureDetector(monotonic_ms())
         self._connection = None
         self._asker = None
@@ -136,7 +139,7 @@
             report = await self._probe()
             self._observe(ProbeOutcome.ANSWERED)
             self._take(report)
-            await anyio.sleep(MIN_ROUND_S)
+            await anyio.sleep(0 if self._is_urgent() else MIN_ROUND_S)
         except PermitUnavailableError:
             self._observe(ProbeOutcome.ANSWERED)
             await anyio.sleep(PERMIT_RETRY_S)
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench.py
@@ -1,18 +1,16 @@
 """Measure the proxy against its stand-ins: make bench."""
 
-import json
 import statistics
 import time
 from collections import Counter
 from pathlib import Path
-from typing import Annotated
 
 import anyio
 import cyclopts
 from asyncmy import errors
-from cyclopts import Parameter
 
-from bronzescale_ctl.client import PlatformClient
+from bronzescale_standins.bench_control import control, membership
+from bronzescale_standins.bench_output import DEFAULT_FILE, AsJson, run_measure, show
 from bronzescale_standins.load import (
     Target,
     closed_load,
@@ -24,27 +22,13 @@
 from bronzescale_standins.processes import FleetOptions, ProcessFleet
 from bronzescale_standins.standin_fleet import ask
 
-AsJson = Annotated[bool, Parameter(name="--json", negative="")]
-DEFAULT_FILE = Path("examples/linjapartio.toml")
 ROWS = 1_000
 SAVE_EVERY = 20
 CONNECT_CHUNK = 50
 
 app = cyclopts.App(name="bench", help="Measure the proxy against its stand-ins.")
-
-
-def _run(measure, fleet, *arguments):
-    return anyio.run(measure, fleet, *arguments, backend_options={"use_uvloop": True})
-
-
-def _show(title, rows, as_json):
-    """Print rows of figures; each is a dict."""
-    if as_json:
-        print(json.dumps({title: rows}))
-        return
-    print(f"\n{title}")
-    for row in rows:
-        print("  " + ", ".join(f"{name} {value}" for name, value in row.items()))
+app.command(control)
+app.command(membership)
 
 
 def _service(fleet):
@@ -87,8 +71,8 @@
         options = FleetOptions(file, proxies=proxies, services=1)
         with ProcessFleet(options) as fleet:
             where = "owner on the same node" if index == 0 else "owner on another node"
-            rows += _run(_measure_relay, fleet, index, where, duration_s)
-    _show("relay", rows, as_json)
+            rows += run_measure(_measure_relay, fleet, index, where, duration_s)
+    show("relay", rows, as_json)
 
 
 async def _measure_relay(fleet, index, where, duration_s):
@@ -133,7 +117,7 @@
     """Offer a node's share at the target, 1 save in 20, on an open schedule."""
     options = FleetOptions(file, proxies=2, services=1)
     with ProcessFleet(options) as fleet:
-        _show("rate", _run(_measure_rate, fleet, per_s, duration_s), as_json)
+        show("rate", run_measure(_measure_rate, fleet, per_s, duration_s), as_json)
 
 
 async def _measure_rate(fleet, per_s, duration_s):
@@ -166,7 +150,7 @@
     """Measure the memory of idle caller connections."""
     options = FleetOptions(file, proxies=1, services=1)
     with ProcessFleet(options) as fleet:
-        _show("memory", _run(_measure_memory, fleet, callers), as_json)
+        show("memory", run_measure(_measure_memory, fleet, callers), as_json)
 
 
 async def _measure_memory(fleet, callers):
@@ -211,8 +195,8 @@
     """Measure the share of reads served by replicas, against three baselines."""
     options = FleetOptions(file, proxies=3, services=1, lag_ms=lag_ms, with_delays=True)
     with ProcessFleet(options) as fleet:
-        rows = _run(_measure_replicas, fleet, lag_ms, sessions, statements)
-    _show("replicas", rows, as_json)
+        rows = run_measure(_measure_replicas, fleet, lag_ms, sessions, statements)
+    show("replicas", rows, as_json)
 
 
 async def _measure_replicas(fleet, lag_ms, sessions, statements):
@@ -338,7 +322,7 @@
                 file, proxies=3, services=1, lag_ms=100.0, with_delays=True
             )
             with ProcessFleet(options) as fleet:
-                gaps.append(_run(_measure_gap, fleet, fault))
+                gaps.append(run_measure(_measure_gap, fleet, fault))
         rows.append(
             {
                 "fault": fault,
@@ -347,7 +331,7 @@
                 "worst_s": round(max(gaps), 2),
             }
         )
-    _show("failover", rows, as_json)
+    show("failover", rows, as_json)
 
 
 async def _measure_gap(fleet, fault):
@@ -413,8 +397,10 @@
             proxy_flags=("--acknowledge", mode),
         )
         with ProcessFleet(options) as fleet:
-            rows.append({"mode": mode, **_run(_measure_saves, fleet, duration_s)})
-    _show("acknowledge", rows, as_json)
+            rows.append(
+                {"mode": mode, **run_measure(_measure_saves, fleet, duration_s)}
+            )
+    show("acknowledge", rows, as_json)
 
 
 async def _measure_saves(fleet, duration_s):
@@ -436,8 +422,8 @@
     for queue, max_queued in (("deadline queue", 64), ("plain queue", 10_000)):
         options = FleetOptions(file, proxies=1, services=1, read_ms=10.0, save_ms=10.0)
         with ProcessFleet(options) as fleet:
-            rows += _run(_measure_overload, fleet, queue, max_queued, duration_s)
-    _show("overload", rows, as_json)
+            rows += run_measure(_measure_overload, fleet, queue, max_queued, duration_s)
+    show("overload", rows, as_json)
 
 
 async def _measure_overload(fleet, queue, max_queued, duration_s):
@@ -473,83 +459,6 @@
     return rows
 
 
-@app.command
-def control(
-    file: Path = DEFAULT_FILE,
-    *,
-    sizes: tuple[int, ...] = (6, 12, 24, 48),
-    services: int = 3,
-    duration_s: float = 12.0,
-    as_json: AsJson = False,
-):
-    """Measure what control costs an idle node at several fleet sizes."""
-    rows = []
-    for size in sizes:
-        options = FleetOptions(file, proxies=size, services=services)
-        with ProcessFleet(options) as fleet:
-            rows.append(_run(_measure_control, fleet, size, duration_s))
-    _show("control", rows, as_json)
-
-
-async def _measure_control(fleet, size, duration_s):
-    await anyio.sleep(6.0 + size * 0.1)
-    before = _control_counts(fleet)
-    started_s = time.monotonic()
-    await anyio.sleep(duration_s)
-    after = _control_counts(fleet)
-    elapsed_s = time.monotonic() - started_s
-    spread_ms = await _measure_spread(fleet)
-    nodes = len(fleet.proxies)
-    databases = sum(len(s["upstream"]) for s in fleet.document["service"])
-    per_node = {
-        name: (after[name] - before[name]) / nodes / elapsed_s for name in after
-    }
-    return {
-        "nodes": size,
-        "databases": databases,
-        "peer_bytes_per_s": round(per_node["bytes"], 1),
-        "peer_messages_per_s": round(per_node["messages"], 2),
-        "probes_per_s": round(per_node["probes"], 3),
-        "core_share": round(per_node["cpu_s"], 5),
-        "rss_mib": round(after["rss"] / nodes / 2**20, 1),
-        "store_calls_per_s_fleet": round(per_node["store"] * nodes, 2),
-        "spread_ms": round(spread_ms),
-    }
-
-
-def _control_counts(fleet):
-    counts = Counter()
-    for name, child in fleet.proxies.items():
-        dump = fleet.dump(name)
-        counters = dump["counters"]
-        for direction in ("sent", "received"):
-            counts["bytes"] += counters.get(f"peer.control.{direction}_bytes", 0)
-            counts["messages"] += counters.get(f"peer.control.{direction}", 0)
-        counts["store"] += dump["store"]["calls"]
-        for group in dump["groups"]:
-            counts["probes"] += sum(copy["probes"] for copy in group["copies"])
-        use = read_use(child.process.pid)
-        counts["cpu_s"] += use.cpu_s
-        counts["rss"] += use.rss_bytes
-    return counts
-
-
-async def _measure_spread(fleet):
-    """Change the declaration and return the time until it is in force everywhere."""
-    client = PlatformClient(fleet.platform_url)
-    found = client.read("declaration", "main")
-    document = {**found.value, "comment": "spread"}
-    started_s = time.monotonic()
-    version = client.update("declaration", "main", document, found.version)
-    waiting = set(fleet.proxies)
-    while waiting:
-        for name in list(waiting):
-            if fleet.dump(name)["generation"] >= version:
-                waiting.discard(name)
-        await anyio.sleep(0.02)
-    return (time.monotonic() - started_s) * 1e3
-
-
 @app.default
 def everything(file: Path = DEFAULT_FILE, *, as_json: AsJson = False):
     """Run every measurement that takes less than a minute."""
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
@@ -0,0 +1,170 @@
+"""Measure what control costs a node as fleet and databases grow."""
+
+import time
+from collections import Counter
+from pathlib import Path
+
+import anyio
+
+from bronzescale_core.membership import Membership, Status
+from bronzescale_core.rendezvous import Node, rank_nodes
+from bronzescale_ctl.client import PlatformClient
+from bronzescale_proxy import wire
+from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_standins.bench_output import DEFAULT_FILE, AsJson, run_measure, show
+from bronzescale_standins.load import read_use
+from bronzescale_standins.processes import FleetOptions, ProcessFleet
+
+ZONES = 7
+RANK_SAMPLE = 200
+
+
+def control(
+    file: Path = DEFAULT_FILE,
+    *,
+    sizes: tuple[int, ...] = (6, 12, 24, 48),
+    services: int = 3,
+    duration_s: float = 12.0,
+    as_json: AsJson = False,
+):
+    """Measure what control costs an idle node at several fleet sizes."""
+    rows = []
+    for size in sizes:
+        options = FleetOptions(file, proxies=size, services=services)
+        with ProcessFleet(options) as fleet:
+            rows.append(run_measure(_measure_control, fleet, size, duration_s))
+    show("control", rows, as_json)
+
+
+async def _measure_control(fleet, size, duration_s):
+    await anyio.sleep(6.0 + size * 0.1)
+    before = _control_counts(fleet)
+    started_s = time.monotonic()
+    await anyio.sleep(duration_s)
+    after = _control_counts(fleet)
+    elapsed_s = time.monotonic() - started_s
+    spread_ms = await _measure_spread(fleet)
+    nodes = len(fleet.proxies)
+    databases = sum(len(s["upstream"]) for s in fleet.document["service"])
+    per_node = {
+        name: (after[name] - before[name]) / nodes / elapsed_s for name in after
+    }
+    return {
+        "nodes": size,
+        "databases": databases,
+        "peer_bytes_per_s": round(per_node["bytes"], 1),
+        "peer_messages_per_s": round(per_node["messages"], 2),
+        "probes_per_s": round(per_node["probes"], 3),
+        "core_share": round(per_node["cpu_s"], 5),
+        "rss_mib": round(after["rss"] / nodes / 2**20, 1),
+        "store_calls_per_s_fleet": round(per_node["store"] * nodes, 2),
+        "spread_ms": round(spread_ms),
+    }
+
+
+def _control_counts(fleet):
+    counts = Counter()
+    for name, child in fleet.proxies.items():
+        dump = fleet.dump(name)
+        counters = dump["counters"]
+        for direction in ("sent", "received"):
+            counts["bytes"] += counters.get(f"peer.control.{direction}_bytes", 0)
+            counts["messages"] += counters.get(f"peer.control.{direction}", 0)
+        counts["store"] += dump["store"]["calls"]
+        for group in dump["groups"]:
+            counts["probes"] += sum(copy["probes"] for copy in group["copies"])
+        use = read_use(child.process.pid)
+        counts["cpu_s"] += use.cpu_s
+        counts["rss"] += use.rss_bytes
+    return counts
+
+
+async def _measure_spread(fleet):
+    """Change the declaration and return the time until it is in force everywhere."""
+    client = PlatformClient(fleet.platform_url)
+    found = client.read("declaration", "main")
+    document = {**found.value, "comment": "spread"}
+    started_s = time.monotonic()
+    version = client.update("declaration", "main", document, found.version)
+    waiting = set(fleet.proxies)
+    while waiting:
+        for name in list(waiting):
+            if fleet.dump(name)["generation"] >= version:
+                waiting.discard(name)
+        await anyio.sleep(0.02)
+    return (time.monotonic() - started_s) * 1e3
+
+
+def membership(
+    *,
+    sizes: tuple[int, ...] = (64, 128, 256, 510, 1020),
+    rounds: int = 12,
+    as_json: AsJson = False,
+):
+    """Drive the membership core alone, with one death."""
+    rows = [_measure_membership(size, rounds) for size in sizes]
+    show("membership", rows, as_json)
+
+
+def _measure_membership(size, rounds):
+    fleet = _make_members(size)
+    gone = next(iter(fleet))
+    del fleet[gone]
+    sent_bytes = Counter()
+    known_after = 0
+    started_s = time.process_time()
+    for number in range(1, rounds + 1):
+        for member in fleet.values():
+            _beat(fleet, member, sent_bytes)
+        knowing = sum(gone not in [n.name for n in m.live()] for m in fleet.values())
+        if knowing == len(fleet) and not known_after:
+            known_after = number
+    elapsed_s = time.process_time() - started_s
+    per_round = len(fleet) * rounds
+    return {
+        "nodes": size,
+        "bytes_per_node_per_s": round(sent_bytes["all"] / per_round, 1),
+        "messages_per_node_per_s": round(sent_bytes["messages"] / per_round, 1),
+        "cpu_ms_per_node_per_s": round(elapsed_s / per_round * 1e3, 3),
+        "rounds_until_all_know_a_death": known_after,
+        "rank_all_databases_ms": round(_rank_time_ms(fleet), 1),
+    }
+
+
+def _make_members(size):
+    nodes = [
+        Node(f"n{i:04}", f"10.0.{i // 250}.{i % 250}:1", f"z{i % ZONES}", "r", 1)
+        for i in range(size)
+    ]
+    fleet = {node.name: Membership(node) for node in nodes}
+    for member in fleet.values():
+        member.take_list(nodes, set())
+        for _ in range(size):
+            member.outgoing_rumors()
+    return fleet
+
+
+def _beat(fleet, member, sent_bytes):
+    """Send one second's heartbeats of a node; they cost what frames would."""
+    for target in member.heartbeat_targets():
+        other = fleet.get(target.name)
+        message = wire.Heartbeat(member.own, Status.ALIVE, 1, member.outgoing_rumors())
+        sent_bytes["all"] += len(wire.encode(1, message, 0))
+        sent_bytes["messages"] += 1
+        if other is None:
+            member.missed(target.name)
+            continue
+        answer = wire.Heartbeat(other.own, Status.ALIVE, 1, other.outgoing_rumors())
+        sent_bytes["all"] += len(wire.encode(1, answer, 0))
+        sent_bytes["messages"] += 1
+        other.heard(message.node, message.status, message.rumors)
+        member.heard(answer.node, answer.status, answer.rumors)
+
+
+def _rank_time_ms(fleet):
+    """Return the time to find the owners of 1,100 databases, from a sample."""
+    nodes = next(iter(fleet.values())).eligible()
+    started_ms = monotonic_ms()
+    for index in range(RANK_SAMPLE):
+        rank_nodes(f"db-{index}", nodes, "z1", "r", 2)
+    return (monotonic_ms() - started_ms) * 1_100 / RANK_SAMPLE
