--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -105,7 +105,7 @@
   1: string kind,
   2: string name,
   3: i64 version,
-  4: string value_json,
+  4: binary value_zlib,
 }
 
 struct WireObjectsRequest {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -318,7 +318,8 @@
         """Make the owned databases and watched groups match what is known."""
         if self.declaration is None or self._tasks is None:
             return
-        inputs = (self.membership.version, self.declaration, len(self._states))
+        generation = self.declaration.generation
+        inputs = (self.membership.version, generation, len(self._states))
         if inputs != self._arranged:
             self._arranged = inputs
             self._arrange_services()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -1553,7 +1553,7 @@
      - kind
      - name
      - version
-     - value_json
+     - value_zlib
 
     """
 
@@ -1561,15 +1561,15 @@
         'kind',
         'name',
         'version',
-        'value_json',
+        'value_zlib',
     )
 
 
-    def __init__(self, kind=None, name=None, version=None, value_json=None,):
+    def __init__(self, kind=None, name=None, version=None, value_zlib=None,):
         self.kind = kind
         self.name = name
         self.version = version
-        self.value_json = value_json
+        self.value_zlib = value_zlib
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1597,7 +1597,7 @@
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.STRING:
-                    self.value_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.value_zlib = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1622,9 +1622,9 @@
             oprot.writeFieldBegin('version', TType.I64, 3)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
-        if self.value_json is not None:
-            oprot.writeFieldBegin('value_json', TType.STRING, 4)
-            oprot.writeString(self.value_json.encode('utf-8') if sys.version_info[0] == 2 else self.value_json)
+        if self.value_zlib is not None:
+            oprot.writeFieldBegin('value_zlib', TType.STRING, 4)
+            oprot.writeBinary(self.value_zlib)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2338,7 +2338,7 @@
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
-    (4, TType.STRING, 'value_json', 'UTF8', None, ),  # 4
+    (4, TType.STRING, 'value_zlib', 'BINARY', None, ),  # 4
 )
 all_structs.append(WireObjectsRequest)
 WireObjectsRequest.thrift_spec = (
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -2,6 +2,7 @@
 
 import json
 import struct
+import zlib
 from functools import singledispatch
 from typing import NamedTuple
 
@@ -24,6 +25,7 @@
 
 HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 80 * 1024 * 1024
+ZLIB_LEVEL = 6
 _PROTOCOL = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_FRAME_BYTES, container_length_limit=10_000_000
 )
@@ -139,6 +141,20 @@
     objects: list
 
 
+def _pack_json(value):
+    """Compress a JSON value; a declaration shrinks to a tenth."""
+    return zlib.compress(json.dumps(value).encode(), ZLIB_LEVEL)
+
+
+def _unpack_json(data):
+    """Read a compressed JSON value, bounded against a hostile size."""
+    unpacker = zlib.decompressobj()
+    text = unpacker.decompress(data, MAX_FRAME_BYTES)
+    if unpacker.unconsumed_tail:
+        raise ValueError(f"an object is larger than {MAX_FRAME_BYTES} bytes")
+    return json.loads(text)
+
+
 def _position(value):
     return t.WirePosition(value.term, value.offset)
 
@@ -275,7 +291,7 @@
 @to_body.register
 def _(message: Objects, now_ms):
     objects = [
-        t.WireObject(o.kind, o.name, o.version, json.dumps(o.value))
+        t.WireObject(o.kind, o.name, o.version, _pack_json(o.value))
         for o in message.objects
     ]
     return t.Body(objects=t.WireObjects(message.since, message.revision, objects))
@@ -341,7 +357,7 @@
 
 def _load_objects(value, now_ms):
     objects = [
-        StoreObject(o.kind, o.name, o.version, json.loads(o.value_json))
+        StoreObject(o.kind, o.name, o.version, _unpack_json(o.value_zlib))
         for o in value.objects
     ]
     return Objects(value.since, value.revision, objects)
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench.py
@@ -9,7 +9,7 @@
 import cyclopts
 from asyncmy import errors
 
-from bronzescale_standins.bench_control import control, membership
+from bronzescale_standins.bench_control import control, membership, state
 from bronzescale_standins.bench_output import DEFAULT_FILE, AsJson, run_measure, show
 from bronzescale_standins.load import (
     Target,
@@ -29,6 +29,7 @@
 app = cyclopts.App(name="bench", help="Measure the proxy against its stand-ins.")
 app.command(control)
 app.command(membership)
+app.command(state)
 
 
 def _service(fleet):
@@ -460,7 +461,7 @@
 
 
 @app.default
-def everything(file: Path = DEFAULT_FILE, *, as_json: AsJson = False):
+def everything(*, file: Path = DEFAULT_FILE, as_json: AsJson = False):
     """Run every measurement that takes less than a minute."""
     relay(file, as_json=as_json)
     rate(file, as_json=as_json)
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
@@ -1,12 +1,17 @@
 """Measure what control costs a node as fleet and databases grow."""
 
+import json
 import time
+import tracemalloc
 from collections import Counter
 from pathlib import Path
 
 import anyio
 
+from bronzescale_core.declaration import load_declaration
+from bronzescale_core.groups import GroupState, dump_group
 from bronzescale_core.membership import Membership, Status
+from bronzescale_core.objects import ObjectCache, StoreObject
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_ctl.client import PlatformClient
 from bronzescale_proxy import wire
@@ -168,3 +173,92 @@
     for index in range(RANK_SAMPLE):
         rank_nodes(f"db-{index}", nodes, "z1", "r", 2)
     return (monotonic_ms() - started_ms) * 1_100 / RANK_SAMPLE
+
+
+def state(
+    *,
+    services: tuple[int, ...] = (46, 92, 184, 367),
+    nodes: int = 510,
+    as_json: AsJson = False,
+):
+    """Measure what a node keeps of the whole fleet, and the size of one change."""
+    rows = [_measure_state(count, nodes) for count in services]
+    show("state", rows, as_json)
+
+
+def _measure_state(services, nodes):
+    document = _big_declaration(services)
+    version = 900
+    item = StoreObject("declaration", "main", version, document)
+    frame = wire.encode(1, wire.Objects(-1, -1, [item]), 0)
+    started_s = time.process_time()
+    load_declaration(document, version)
+    load_ms = (time.process_time() - started_s) * 1e3
+    del document, item
+    tracemalloc.start()
+    cache = ObjectCache()
+    _, message = wire.decode(frame[wire.HEADER.size :], 0)
+    cache.extend(message.objects, 0, version)
+    declaration = load_declaration(message.objects[0].value, version)
+    groups = [_keep_group(cache, service) for service in declaration.services]
+    members = _make_members_of_one(nodes)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        "databases": services * 3,
+        "nodes": nodes,
+        "kept_mib": round(kept_bytes / 2**20, 2),
+        "declaration_kib_json": round(
+            len(json.dumps(message.objects[0].value)) / 1024, 1
+        ),
+        "change_bytes_on_the_wire": len(frame),
+        "bytes_per_s_at_900_a_day": round(len(frame) * 900 / 86_400, 1),
+        "load_ms": round(load_ms, 1),
+        "kept": len(groups) + len(members.live()),
+    }
+
+
+def _big_declaration(services):
+    zones = [f"zone-{index}" for index in range(ZONES)]
+    return {
+        "schema_version": 1,
+        "name": "target",
+        "place": [
+            {"zone": zone, "region": f"region-{index % 2}"}
+            for index, zone in enumerate(zones)
+        ],
+        "user": [{"name": "crew"}],
+        "service": [
+            {
+                "name": f"service-{number}",
+                "schema_versions": [1, 2],
+                "upstream": [
+                    {
+                        "name": f"service-{number}-db-{copy}",
+                        "address": f"10.{number % 250}.{number // 250}.{copy}:3306",
+                        "zone": zones[(number + copy) % ZONES],
+                        "slots": 3,
+                        "max_connections": 40,
+                    }
+                    for copy in range(3)
+                ],
+            }
+            for number in range(services)
+        ],
+    }
+
+
+def _keep_group(cache, service):
+    state = GroupState(service.name, 3, service.initial_primary, writer="n1", nonce="x")
+    cache.put(StoreObject("group", service.name, 1, dump_group(state)))
+    return state
+
+
+def _make_members_of_one(size):
+    nodes = [
+        Node(f"n{i:04}", f"10.0.{i // 250}.{i % 250}:1", f"zone-{i % ZONES}", "r", 1)
+        for i in range(size)
+    ]
+    members = Membership(nodes[0])
+    members.take_list(nodes, set())
+    return members
--- a/packages/bronzescale-standins/src/bronzescale_standins/platform.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/platform.py
@@ -7,6 +7,8 @@
 import anyio
 import uvicorn
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.gzip import GZipMiddleware
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
@@ -56,6 +58,7 @@
         starlette.applications.Starlette
         """
         return Starlette(
+            middleware=[Middleware(GZipMiddleware, minimum_size=1_000)],
             routes=[
                 Route("/objects/{kind}/{name}", self._get, methods=["GET"]),
                 Route("/objects/{kind}/{name}", self._put, methods=["PUT"]),
@@ -64,7 +67,7 @@
                 Route("/standin/hosts", self._put_hosts, methods=["PUT"]),
                 Route("/standin/faults", self._put_faults, methods=["PUT"]),
                 Route("/standin/meter", self._meter, methods=["GET"]),
-            ]
+            ],
         )
 
     def put(self, kind, name, value, if_version):
