Send short heartbeats; addresses travel as rumors

Cause: 48 idle nodes exchanged 2,341 bytes a second each, sent and received, of which the most was the sender's own addresses on every heartbeat; the budget is 2 KB. Change: a heartbeat names its sender and its start; a node introduces itself once by a rumor, and the platform's list tells its addresses anyway.

--- a/packages/bronzescale-core/src/bronzescale_core/membership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/membership.py
@@ -91,6 +91,21 @@
         known = [m.node for m in members if m.status is Status.ALIVE]
         return [self._own, *known] if self._own_status is Status.ALIVE else known
 
+    def find(self, name):
+        """Return a known node.
+
+        Parameters
+        ----------
+        name : str
+            Its name.
+
+        Returns
+        -------
+        Node or None
+        """
+        member = self._members.get(name)
+        return member.node if member is not None else None
+
     def standings(self):
         """Return every known node with its standing, for the dump.
 
@@ -159,31 +174,39 @@
                 self._rumors[name] = (rumor, left - 1)
         return [rumor for _, (rumor, _) in chosen]
 
-    def heard(self, node, status, rumors):
+    def heard(self, name, incarnation, status, rumors):
         """Take a heartbeat or its answer.
 
         Parameters
         ----------
-        node : Node
+        name : str
             Who sent it.
+        incarnation : int
+            The sender's start.
         status : Status
             Its own standing.
         rumors : iterable of Rumor
-            What came with it.
+            What came with it; a node that just started tells its addresses so.
 
         Returns
         -------
         bool
             Whether any standing changed.
         """
-        changed = self._learn(node, status, is_direct=True)
-        member = self._members.get(node.name)
-        if member is not None:
-            member.misses = 0
+        changed = False
         for rumor in rumors:
             changed |= self._hear_rumor(rumor)
+        member = self._members.get(name)
+        if member is not None:
+            node = member.node._replace(incarnation=incarnation)
+            changed |= self._learn(node, status, is_direct=True)
+            member.misses = 0
         return changed
 
+    def introduce(self):
+        """Spread this node's own addresses and standing."""
+        self._spread(Rumor(self._own, self._own_status))
+
     def missed(self, name):
         """Count a heartbeat without an answer.
 
--- a/packages/bronzescale-core/tests/test_policies.py
+++ b/packages/bronzescale-core/tests/test_policies.py
@@ -234,6 +234,17 @@
     def names(self):
         return sorted(n.name for n in self.members.eligible())
 
+    def meet(self, name, incarnation):
+        """Hear from a node that introduces itself."""
+        rumor = Rumor(node(name, incarnation=incarnation), Status.ALIVE)
+        self.members.heard(name, incarnation, Status.ALIVE, [rumor])
+
+    def test_unknown_sender_is_learned_from_its_introduction_only(self):
+        self.members.heard("x", 1, Status.ALIVE, [])
+        self.assertEqual(["self"], self.names())
+        self.meet("x", 1)
+        self.assertEqual(["self", "x"], self.names())
+
     def test_listed_node_that_misses_heartbeats_is_down(self):
         self.members.take_list([node("x", incarnation=0)], set())
         self.assertEqual(["self", "x"], self.names())
@@ -243,28 +254,28 @@
         self.assertEqual(["self"], self.names())
 
     def test_restarted_node_is_back(self):
-        self.members.heard(node("x"), Status.ALIVE, [])
+        self.meet("x", 1)
         self.members.missed("x")
         self.members.missed("x")
-        self.assertTrue(self.members.heard(node("x", incarnation=2), Status.ALIVE, []))
+        self.assertTrue(self.members.heard("x", 2, Status.ALIVE, []))
         self.assertEqual(["self", "x"], self.names())
 
     def test_old_rumor_of_a_replaced_process_does_no_harm(self):
-        self.members.heard(node("x", incarnation=5), Status.ALIVE, [])
+        self.meet("x", 5)
         old = Rumor(node("x", incarnation=4), Status.DOWN)
-        self.members.heard(node("y"), Status.ALIVE, [old])
+        self.members.heard("y", 1, Status.ALIVE, [old])
         self.assertIn("x", self.names())
 
     def test_node_refutes_its_own_death(self):
         own = self.members.own
         rumor = Rumor(own, Status.DOWN)
-        self.members.heard(node("x"), Status.ALIVE, [rumor])
+        self.members.heard("x", 1, Status.ALIVE, [rumor])
         self.assertThat(self.members.own.incarnation, Equals(own.incarnation + 1))
         sent = [r for r in self.members.outgoing_rumors() if r.node.name == "self"]
         self.assertEqual(Status.ALIVE, sent[0].status)
 
     def test_listed_as_leaving_takes_no_ownership(self):
-        self.members.heard(node("x", incarnation=9), Status.ALIVE, [])
+        self.meet("x", 9)
         self.members.take_list([node("x", incarnation=0)], {"x"})
         self.assertEqual(["self"], self.names())
 
@@ -283,8 +294,9 @@
                         members.missed("n07")
                         continue
                     other = fleet[target.name]
-                    other.heard(members.own, Status.ALIVE, members.outgoing_rumors())
-                    members.heard(other.own, Status.ALIVE, other.outgoing_rumors())
+                    for one, two in ((members, other), (other, members)):
+                        rumors = one.outgoing_rumors()
+                        two.heard(one.own.name, 1, Status.ALIVE, rumors)
             self.assertThat(rounds, LessThan(16))
 
 
--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -16,10 +16,11 @@
 }
 
 struct WireHeartbeat {
-  1: WireNode node,
-  2: i32 status,
-  3: i64 revision,
-  4: list<WireRumor> rumors,
+  1: string node,
+  2: i64 incarnation,
+  3: i32 status,
+  4: i64 revision,
+  5: list<WireRumor> rumors,
 }
 
 struct WirePosition {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/spread.py
@@ -44,6 +44,7 @@
 
     async def run(self):
         """Run until cancelled."""
+        self._node.membership.introduce()
         async with anyio.create_task_group() as self._tasks:
             self._tasks.start_soon(self._watch_store)
             self._tasks.start_soon(self._poll_hosts)
@@ -195,9 +196,9 @@
         membership = self._node.membership
         status = membership.standings()[0].status
         revision = self._node.objects.revision
-        return wire.Heartbeat(
-            membership.own, status, revision, membership.outgoing_rumors()
-        )
+        own = membership.own
+        rumors = membership.outgoing_rumors()
+        return wire.Heartbeat(own.name, own.incarnation, status, revision, rumors)
 
     async def answer_heartbeat(self, heartbeat, channel):
         """Answer a heartbeat and learn from it.
@@ -220,14 +221,16 @@
         heartbeat : Heartbeat
             What came.
         """
-        changed = self._node.membership.heard(
-            heartbeat.node, heartbeat.status, heartbeat.rumors
+        membership = self._node.membership
+        changed = membership.heard(
+            heartbeat.node, heartbeat.incarnation, heartbeat.status, heartbeat.rumors
         )
         if changed:
             self._node.arrange()
         revision = self._node.objects.revision
-        if heartbeat.revision > revision:
-            await self._pull_from(heartbeat.node, revision)
+        sender = membership.find(heartbeat.node)
+        if heartbeat.revision > revision and sender is not None:
+            await self._pull_from(sender, revision)
 
     async def _pull_from(self, peer, since):
         try:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -229,6 +229,7 @@
     """
     Attributes:
      - node
+     - incarnation
      - status
      - revision
      - rumors
@@ -237,14 +238,16 @@
 
     __slots__ = (
         'node',
+        'incarnation',
         'status',
         'revision',
         'rumors',
     )
 
 
-    def __init__(self, node=None, status=None, revision=None, rumors=None,):
+    def __init__(self, node=None, incarnation=None, status=None, revision=None, rumors=None,):
         self.node = node
+        self.incarnation = incarnation
         self.status = status
         self.revision = revision
         self.rumors = rumors
@@ -259,22 +262,26 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.node = WireNode()
-                    self.node.read(iprot)
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.status = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
                 if ftype == TType.I64:
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.rumors = []
                     (_etype3, _size0) = iprot.readListBegin()
@@ -296,19 +303,23 @@
             return
         oprot.writeStructBegin('WireHeartbeat')
         if self.node is not None:
-            oprot.writeFieldBegin('node', TType.STRUCT, 1)
-            self.node.write(oprot)
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
         if self.status is not None:
-            oprot.writeFieldBegin('status', TType.I32, 2)
+            oprot.writeFieldBegin('status', TType.I32, 3)
             oprot.writeI32(self.status)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeFieldBegin('revision', TType.I64, 4)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.rumors is not None:
-            oprot.writeFieldBegin('rumors', TType.LIST, 4)
+            oprot.writeFieldBegin('rumors', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rumors))
             for iter6 in self.rumors:
                 iter6.write(oprot)
@@ -2236,10 +2247,11 @@
 all_structs.append(WireHeartbeat)
 WireHeartbeat.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'node', [WireNode, None], None, ),  # 1
-    (2, TType.I32, 'status', None, None, ),  # 2
-    (3, TType.I64, 'revision', None, None, ),  # 3
-    (4, TType.LIST, 'rumors', (TType.STRUCT, [WireRumor, None], False), None, ),  # 4
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'status', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.LIST, 'rumors', (TType.STRUCT, [WireRumor, None], False), None, ),  # 5
 )
 all_structs.append(WirePosition)
 WirePosition.thrift_spec = (
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -36,8 +36,10 @@
 
     Parameters
     ----------
-    node : Node
-        The sender.
+    node : str
+        Name of the sender; rumors and the platform's list tell its addresses.
+    incarnation : int
+        Its start.
     status : Status
         Its own standing.
     revision : int
@@ -46,7 +48,8 @@
         Standings that it spreads.
     """
 
-    node: Node
+    node: str
+    incarnation: int
     status: Status
     revision: int
     rumors: list
@@ -196,7 +199,11 @@
 def _(message: Heartbeat, now_ms):
     rumors = [t.WireRumor(_node(r.node), int(r.status)) for r in message.rumors]
     heartbeat = t.WireHeartbeat(
-        _node(message.node), int(message.status), message.revision, rumors
+        message.node,
+        message.incarnation,
+        int(message.status),
+        message.revision,
+        rumors,
     )
     return t.Body(heartbeat=heartbeat)
 
@@ -304,7 +311,7 @@
 def _load_heartbeat(value, now_ms):
     rumors = [Rumor(_load_node(r.node), Status(r.status)) for r in value.rumors]
     return Heartbeat(
-        _load_node(value.node), Status(value.status), value.revision, rumors
+        value.node, value.incarnation, Status(value.status), value.revision, rumors
     )
 
 
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
@@ -21,6 +21,7 @@
 from bronzescale_standins.processes import FleetOptions, ProcessFleet
 
 ZONES = 7
+START_MS = 1_796_342_400_000
 RANK_SAMPLE = 200
 
 
@@ -138,7 +139,13 @@
 
 def _make_members(size):
     nodes = [
-        Node(f"n{i:04}", f"10.0.{i // 250}.{i % 250}:1", f"z{i % ZONES}", "r", 1)
+        Node(
+            f"proxy-{i:04}-zone",
+            f"10.0.{i // 250}.{i % 250}:1",
+            f"z{i % ZONES}",
+            "r",
+            START_MS,
+        )
         for i in range(size)
     ]
     fleet = {node.name: Membership(node) for node in nodes}
@@ -153,17 +160,23 @@
     """Send one second's heartbeats of a node; they cost what frames would."""
     for target in member.heartbeat_targets():
         other = fleet.get(target.name)
-        message = wire.Heartbeat(member.own, Status.ALIVE, 1, member.outgoing_rumors())
+        message = _heartbeat(member)
         sent_bytes["all"] += len(wire.encode(1, message, 0))
         sent_bytes["messages"] += 1
         if other is None:
             member.missed(target.name)
             continue
-        answer = wire.Heartbeat(other.own, Status.ALIVE, 1, other.outgoing_rumors())
+        answer = _heartbeat(other)
         sent_bytes["all"] += len(wire.encode(1, answer, 0))
         sent_bytes["messages"] += 1
-        other.heard(message.node, message.status, message.rumors)
-        member.heard(answer.node, answer.status, answer.rumors)
+        other.heard(message.node, message.incarnation, message.status, message.rumors)
+        member.heard(answer.node, answer.incarnation, answer.status, answer.rumors)
+
+
+def _heartbeat(member):
+    own = member.own
+    rumors = member.outgoing_rumors()
+    return wire.Heartbeat(own.name, own.incarnation, Status.ALIVE, 1, rumors)
 
 
 def _rank_time_ms(fleet):
