Fit idle control into 2 KB a second; measure overload in time and in the open

Cause: probes answered with five columns, 230 bytes each, and every copy was asked twice a second; with heartbeats that is past 2 KB a second at 510 nodes. The overload measurement did not set the queue that it named, so its plain queue was none.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
@@ -297,6 +297,7 @@
             self._on_report,
             self._on_finding,
             lambda: self._tracker.waiting > 0,
+            lambda: upstream.name == self.state.primary,
         )
         scope = anyio.CancelScope()
         self._watches[upstream.name] = watch
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/orders.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/orders.py
@@ -105,7 +105,7 @@
 async def _ask(connection, upstream, sql):
     sent_at_ms = monotonic_ms()
     rows = await connection.run(sql)
-    role, promised_term, log_term, received, applied = rows[0]
+    role, promised_term, log_term, received, applied = rows[0][0].split()
     return CopyReport(
         upstream=upstream,
         role=role,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -39,6 +39,7 @@
 ER_DUPLICATE_KEY = 1062
 READ_ONLY_CODES = frozenset((1290, 1792, 1836))
 HEAD_WAIT_MS = 1_500
+AGE_SAMPLE_WAIT_MS = 300
 
 
 class Transaction:
@@ -194,7 +195,7 @@
         if watch is None:
             raise self._not_sent(f"{self.upstream.name} is not watched here yet")
         if mode is ConsistencyMode.AGE:
-            self._require_age(request, watch)
+            await self._require_age(request, watch)
             return
         until_ms = min(request.wait_until_ms, request.deadline_ms)
         if not await watch.wait_applied(request.floor, self._state, until_ms):
@@ -205,12 +206,16 @@
                 is_behind=True,
             )
 
-    def _require_age(self, request, watch):
-        age_ms = None
-        if watch.report is not None:
-            applied = watch.report.applied_position
-            age_ms = self._group.heads.age_ms(applied, monotonic_ms())
-        if age_ms is None or age_ms > request.consistency.max_age_ms:
+    async def _require_age(self, request, watch):
+        """Raise unless the copy is young enough, after a fresh sample if need be."""
+        max_age_ms = request.consistency.max_age_ms
+        age_ms = self._age_ms(watch)
+        if age_ms is None or age_ms > max_age_ms:
+            now_ms = monotonic_ms()
+            until_ms = min(request.deadline_ms, now_ms + AGE_SAMPLE_WAIT_MS)
+            await self._group.confirmed_head(now_ms - max_age_ms, until_ms)
+            age_ms = self._age_ms(watch)
+        if age_ms is None or age_ms > max_age_ms:
             text = "unknown" if age_ms is None else f"{age_ms} ms"
             raise AttemptFailedError(
                 Progress.NOT_SENT,
@@ -218,6 +223,12 @@
                 is_behind=True,
             )
 
+    def _age_ms(self, watch):
+        if watch.report is None:
+            return None
+        applied = watch.report.applied_position
+        return self._group.heads.age_ms(applied, monotonic_ms())
+
     async def _require_confirmed_primary(self, request):
         self._require_primary()
         until_ms = min(request.deadline_ms, monotonic_ms() + HEAD_WAIT_MS)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
@@ -24,6 +24,7 @@
 RETRY_S = 0.2
 PERMIT_RETRY_S = 0.5
 MIN_ROUND_S = 0.002
+REPLICA_INTERVAL_MS = 1_000
 
 
 class CopyWatch:
@@ -43,15 +44,27 @@
         Called with the name and each `Finding`.
     is_urgent : callable
         Return whether saves wait for the next report.
+    is_primary : callable
+        Return whether the database is the primary, which is asked more often.
     """
 
-    def __init__(self, upstream, connector, permits, on_report, on_finding, is_urgent):
+    def __init__(
+        self,
+        upstream,
+        connector,
+        permits,
+        on_report,
+        on_finding,
+        is_urgent,
+        is_primary,
+    ):
         self.upstream = upstream
         self._connector = connector
         self._permits = permits
         self._on_report = on_report
         self._on_finding = on_finding
         self._is_urgent = is_urgent
+        self._is_primary = is_primary
         self._detector = FailureDetector(monotonic_ms())
         self._connection = None
         self._asker = None
@@ -160,9 +173,10 @@
             with anyio.fail_after(PROBE_TIMEOUT_MS / 1_000):
                 self._connection = await self._connector.open(self._permits)
                 return await orders.read_status(self._connection, name)
-        with anyio.fail_after((PROBE_INTERVAL_MS + PROBE_TIMEOUT_MS) / 1_000):
+        wait_ms = PROBE_INTERVAL_MS if self._is_primary() else REPLICA_INTERVAL_MS
+        with anyio.fail_after((wait_ms + PROBE_TIMEOUT_MS) / 1_000):
             return await orders.wait_change(
-                self._connection, name, self.report, PROBE_INTERVAL_MS
+                self._connection, name, self.report, wait_ms
             )
 
     def _observe(self, outcome):
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench.py
@@ -25,6 +25,8 @@
 ROWS = 1_000
 SAVE_EVERY = 20
 CONNECT_CHUNK = 50
+PATIENCE_MS = 500
+OVERLOAD_CALLERS = 600
 
 app = cyclopts.App(name="bench", help="Measure the proxy against its stand-ins.")
 app.command(control)
@@ -420,27 +422,41 @@
 ):
     """Offer 1, 2 and 5 times the capacity of one database and measure goodput."""
     rows = []
-    for queue, max_queued in (("deadline queue", 64), ("plain queue", 10_000)):
-        options = FleetOptions(file, proxies=1, services=1, read_ms=10.0, save_ms=10.0)
+    variants = (
+        ("deadline queue", 64, PATIENCE_MS),
+        ("plain queue", 10_000, 60_000),
+        ("bounded room", 4, PATIENCE_MS),
+    )
+    for queue, max_queued, deadline_ms in variants:
+        options = FleetOptions(
+            file,
+            proxies=1,
+            services=1,
+            read_ms=10.0,
+            save_ms=10.0,
+            max_queued=max_queued,
+        )
         with ProcessFleet(options) as fleet:
-            rows += run_measure(_measure_overload, fleet, queue, max_queued, duration_s)
+            rows += run_measure(
+                _measure_overload, fleet, queue, deadline_ms, duration_s
+            )
     show("overload", rows, as_json)
 
 
-async def _measure_overload(fleet, queue, max_queued, duration_s):
+async def _measure_overload(fleet, queue, deadline_ms, duration_s):
     await _fill(fleet)
-    slots = 3
-    capacity_per_s = slots / 0.0115
-    deadline_ms = 500 if queue == "deadline queue" else 60_000
-    settings = (
-        "SET @bronzescale_consistency = 'primary'",
-        f"SET @bronzescale_deadline_ms = {deadline_ms}",
-    )
+    settings = (f"SET @bronzescale_deadline_ms = {deadline_ms}",)
+    capacity_per_s = await _measure_capacity(fleet)
     rows = []
     for factor in (1, 2, 5):
-        per_s = capacity_per_s * factor
         report = await open_load(
-            _target(fleet), saves(factor * 10_000_000), 600, per_s, duration_s, settings
+            _target(fleet),
+            saves(factor * 10_000_000),
+            OVERLOAD_CALLERS,
+            capacity_per_s * factor,
+            duration_s,
+            settings,
+            PATIENCE_MS / 1_000,
         )
         rows.append(
             {
@@ -448,8 +464,9 @@
                 "offered_of_capacity": factor,
                 "offered": report.offered,
                 "answered": report.answered,
+                "in_time": report.in_time,
                 "goodput_of_capacity": round(
-                    report.answered / duration_s / capacity_per_s, 3
+                    report.in_time / duration_s / capacity_per_s, 3
                 ),
                 "p50_ms": report.p50_ms,
                 "p99_ms": report.p99_ms,
@@ -460,6 +477,12 @@
     return rows
 
 
+async def _measure_capacity(fleet):
+    """Return what the slots of the primary finish in a second when kept busy."""
+    report = await closed_load(_target(fleet), saves(), 6, 2.0)
+    return report.answered / report.elapsed_s
+
+
 @app.default
 def everything(*, file: Path = DEFAULT_FILE, as_json: AsJson = False):
     """Run every measurement that takes less than a minute."""
--- a/packages/bronzescale-standins/src/bronzescale_standins/database.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/database.py
@@ -126,10 +126,10 @@
     async def _run(self, sql, one_way_s):
         order = _ORDER.match(sql)
         if order:
-            rows = [await self._run_order(order.group(1).lower(), order.group(2))]
+            status = await self._run_order(order.group(1).lower(), order.group(2))
             await self._before_answer(one_way_s)
-            names = ["role", "promised_term", "log_term", "received", "applied"]
-            await self._write_rows(names, [rows])
+            text = " ".join(str(each) for each in status)
+            await self._write_rows(["status"], [[(text,)]])
             return
         locks = _LOCK.findall(sql)
         if locks:
--- a/packages/bronzescale-standins/src/bronzescale_standins/load.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/load.py
@@ -23,8 +23,9 @@
 
     Parameters
     ----------
-    offered, started, answered : int
-        Arrivals that were due, begun and answered without an error.
+    offered, started, answered, in_time : int
+        Arrivals that were due, begun, answered without an error, and answered within
+        the caller's patience.
     errors : dict of str to int
         Errors by SQLSTATE.
     elapsed_s : float
@@ -36,6 +37,7 @@
     offered: int
     started: int
     answered: int
+    in_time: int
     errors: dict
     elapsed_s: float
     p50_ms: float
@@ -158,7 +160,9 @@
     return _report(counts["started"], counts, failures, started_s, histogram)
 
 
-async def open_load(target, statements, connections, rate, duration_s, settings=()):
+async def open_load(
+    target, statements, connections, rate, duration_s, settings=(), patience_s=8.0
+):
     """Send statements at their scheduled times, whatever the answers do.
 
     Parameters
@@ -175,6 +179,8 @@
         For how long.
     settings : sequence of str
         Statements that each caller sends first.
+    patience_s : float
+        How long after its arrival an answer is of use.
 
     Returns
     -------
@@ -199,6 +205,7 @@
             try:
                 await ask(connection, statements())
                 counts["answered"] += 1
+                counts["in_time"] += time.monotonic() - due_s <= patience_s
                 latency_us = int((time.monotonic() - due_s) * 1e6) + 1
                 histogram.record_value(latency_us)
             except errors.Error as error:
@@ -223,6 +230,7 @@
         offered,
         counts["started"],
         counts["answered"],
+        counts["in_time"],
         dict(failures),
         round(time.monotonic() - started_s, 3),
         histogram.get_value_at_percentile(50) / 1e3,
--- a/packages/bronzescale-standins/src/bronzescale_standins/processes.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/processes.py
@@ -35,6 +35,8 @@
         Time that a statement holds its slot.
     services : int
         How many of the declared services to start; 0 for all.
+    max_queued : int
+        Statements that may wait at each database; 0 for what is declared.
     proxy_flags : tuple of str
         More flags for every proxy.
     log_dir : Path or None
@@ -48,6 +50,7 @@
     read_ms: float = 0.0
     save_ms: float = 0.0
     services: int = 0
+    max_queued: int = 0
     proxy_flags: tuple = ()
     log_dir: Path | None = None
 
@@ -121,6 +124,9 @@
         self.document = parse_toml(options.file.read_text())
         if options.services:
             self.document["service"] = self.document["service"][: options.services]
+        if options.max_queued:
+            for service in self.document["service"]:
+                service["max_queued"] = options.max_queued
         self.regions = {p["zone"]: p["region"] for p in self.document["place"]}
         self.zones = list(self.regions)
         self.platform = None
