Notice an address that only the platform's list changed

Change: a new address counts as a change of membership. The breaks run without -x, whose exit code hid the failed tests.

--- a/packages/bronzescale-core/src/bronzescale_core/membership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/membership.py
@@ -131,7 +131,7 @@
             self._learn(node, Status.ALIVE, is_known_to_all=True)
             member = self._members.get(node.name)
             if member is not None:
-                member.node = self._as_listed(member.node)
+                self._relocate(member)
                 if node.name in leaving:
                     self._learn(member.node, Status.LEAVING, is_known_to_all=True)
         for name in set(self._members) - set(self._listed):
@@ -271,6 +271,13 @@
         is_back = is_direct and node.incarnation >= member.node.incarnation
         return is_back and member.status is Status.DOWN
 
+    def _relocate(self, member):
+        """Take the address that the list gives; whoever kept the old one must ask."""
+        listed = self._as_listed(member.node)
+        if listed != member.node:
+            member.node = listed
+            self.version += 1
+
     def _as_listed(self, node):
         """Prefer the addresses that the platform gives to this zone."""
         listed = self._listed.get(node.name)
--- a/packages/bronzescale-core/tests/test_policies.py
+++ b/packages/bronzescale-core/tests/test_policies.py
@@ -266,6 +266,14 @@
         self.members.heard("y", 1, Status.ALIVE, [old])
         self.assertIn("x", self.names())
 
+    def test_address_of_the_list_replaces_the_one_that_a_node_told(self):
+        self.meet("x", 5)
+        version = self.members.version
+        listed = node("x", incarnation=0)._replace(address="10.9.9.9:1")
+        self.members.take_list([listed], set())
+        self.assertEqual("10.9.9.9:1", self.members.find("x").address)
+        self.assertThat(self.members.version, Equals(version + 1))
+
     def test_node_refutes_its_own_death(self):
         own = self.members.own
         rumor = Rumor(own, Status.DOWN)
--- a/packages/bronzescale-standins/src/bronzescale_standins/mutations.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/mutations.py
@@ -179,7 +179,7 @@
             raise ValueError(f"{mutation.module} no longer holds {mutation.old!r}")
         module.write_text(text.replace(mutation.old, mutation.new))
         tests = str(ROOT / mutation.package / "tests")
-        command = [sys.executable, "-m", "pytest", "-x", "-q", "-n", "4", tests]
+        command = [sys.executable, "-m", "pytest", "-q", "-n", "2", tests]
         if mutation.tests:
             command += ["-k", mutation.tests]
         result = subprocess.run(
