--- a/packages/bronzescale-standins/src/bronzescale_standins/mutations.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/mutations.py
@@ -129,18 +129,15 @@
         "pool",
         "if connection.is_clean and not self._is_closed:",
         "if not self._is_closed:",
-        "answers_crossed or answers_lost or silent_connections or kill_query",
+        "kill_query or (answers_crossed and read)",
     ),
     Mutation(
         "transactions never mix",
         PROXY,
         "owner",
-        "            self._pool.give_back(transaction.connection)\n\n"
-        "    def end_transactions_of",
-        "            transaction.connection.is_clean = True\n"
-        "            self._pool.give_back(transaction.connection)\n\n"
-        "    def end_transactions_of",
-        "mid_transaction or proxy_dead",
+        "            transaction.connection.close()\n            self._pool",
+        "            transaction.connection.is_clean = True\n            self._pool",
+        "mid_transaction",
     ),
     Mutation(
         "a graceful stop cuts nothing in flight",
