Give up on silent connections before their deadline

Ruled out: a shorter deadline for all saves, since a slow save is no silent one. Change: when a watch's open connection went silent and a new one works, connections that have waited for an answer for 1 s are closed, and idle ones are asked before use. Conclusion: a lone lost watch beside a statement that is slow by itself ends that statement early; its outcome is then unknown, or it is tried again with its key.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
@@ -298,6 +298,7 @@
             self._on_finding,
             lambda: self._tracker.waiting > 0,
             lambda: upstream.name == self.state.primary,
+            self._environment.give_up_silent,
         )
         scope = anyio.CancelScope()
         self._watches[upstream.name] = watch
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -314,6 +314,18 @@
         self._assign(declared)
         return owner
 
+    def give_up_silent(self, upstream_name):
+        """Give up on connections of a database that went silent, if it is owned here.
+
+        Parameters
+        ----------
+        upstream_name : str
+            The database; a new connection to it works.
+        """
+        owner = self._owners.get(upstream_name)
+        if owner is not None:
+            owner.pool.give_up_silent()
+
     def arrange(self):
         """Make the owned databases and watched groups match what is known."""
         if self.declaration is None or self._tasks is None:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/pool.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/pool.py
@@ -26,6 +26,7 @@
 SLACK_CONNECTIONS = 2
 MAX_CONTROL_CONNECTIONS = 6
 IDLE_CHECK_AFTER_MS = 2_000
+SILENT_AFTER_MS = 1_000
 ER_CON_COUNT = 1040
 
 
@@ -192,7 +193,7 @@
         self._clock_ms = clock_ms
         self._idle = deque()
         self._waiters = deque()
-        self._held = 0
+        self._held = set()
         self._opening = 0
         self._is_closed = False
         self.opened_total = 0
@@ -201,7 +202,7 @@
     @property
     def size(self):
         """Return how many connections are open or being opened."""
-        return len(self._idle) + self._held + self._opening
+        return len(self._idle) + len(self._held) + self._opening
 
     @asynccontextmanager
     async def lease(self):
@@ -246,7 +247,7 @@
         connection : UpstreamConnection
             What `take` returned.
         """
-        self._held -= 1
+        self._held.discard(connection)
         if connection.is_clean and not self._is_closed:
             connection.used_at_ms = self._clock_ms()
             self._idle.append(connection)
@@ -255,6 +256,21 @@
             connection.close()
         self._wake()
 
+    def give_up_silent(self):
+        """Close what has waited for an answer for long; ask idle ones before use.
+
+        Call it when one open connection went silent while a new one works. Then the
+        others have most likely been lost in the same place, and their statements
+        would wait for their whole deadline.
+        """
+        now_ms = self._clock_ms()
+        for connection in self._held:
+            waits_since_ms = connection.sent_at_ms
+            if waits_since_ms and now_ms - waits_since_ms >= SILENT_AFTER_MS:
+                logger.info("pool: gave up on a connection that went silent.")
+                connection.close()
+        self.suspect_idle()
+
     def suspect_idle(self):
         """Ping every idle connection before its next use."""
         for connection in self._idle:
@@ -274,7 +290,7 @@
     async def _take_idle(self):
         while self._idle:
             connection = self._idle.pop()
-            self._held += 1
+            self._held.add(connection)
             if self._clock_ms() - connection.used_at_ms < IDLE_CHECK_AFTER_MS:
                 return connection
             try:
@@ -299,7 +315,7 @@
             self._opening -= 1
             self._wake()
         self.opened_total += 1
-        self._held += 1
+        self._held.add(connection)
         return connection
 
     def _wake(self):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/upstream.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/upstream.py
@@ -7,6 +7,7 @@
 
 from bronzescale_core.exceptions import UpstreamStatementError
 from bronzescale_core.positions import ORIGIN, Position
+from bronzescale_proxy.clock import monotonic_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
 
 COM_QUERY = 0x03
@@ -49,6 +50,7 @@
         self.permit = permit
         self.is_clean = True
         self.used_at_ms = 0
+        self.sent_at_ms = 0
 
     async def execute(self, sql):
         """Run a statement and yield its answer piece by piece.
@@ -74,9 +76,11 @@
         transport = self._raw._transport
         if transport is None or transport.is_closing():
             raise UpstreamUnavailableError("the connection was closed", is_sent=False)
+        self.sent_at_ms = monotonic_ms()
         try:
             await self._raw._execute_command(COM_QUERY, sql)
             first = await self._raw.read_packet()
+            self.sent_at_ms = 0
             data = first.get_all_data()
             if data[0] == 0x00:
                 yield _parse_ok(first)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
@@ -46,6 +46,8 @@
         Return whether saves wait for the next report.
     is_primary : callable
         Return whether the database is the primary, which is asked more often.
+    on_silence : callable
+        Called with the name when an open connection went silent and a new one works.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         on_finding,
         is_urgent,
         is_primary,
+        on_silence,
     ):
         self.upstream = upstream
         self._connector = connector
@@ -65,6 +68,8 @@
         self._on_finding = on_finding
         self._is_urgent = is_urgent
         self._is_primary = is_primary
+        self._on_silence = on_silence
+        self._was_silent = False
         self._detector = FailureDetector(monotonic_ms())
         self._connection = None
         self._asker = None
@@ -152,12 +157,16 @@
             report = await self._probe()
             self._observe(ProbeOutcome.ANSWERED)
             self._take(report)
+            if self._was_silent:
+                self._was_silent = False
+                self._on_silence(self.upstream.name)
             await anyio.sleep(0 if self._is_urgent() else MIN_ROUND_S)
         except PermitUnavailableError:
             self._observe(ProbeOutcome.ANSWERED)
             await anyio.sleep(PERMIT_RETRY_S)
         except TimeoutError:
             self._drop()
+            self._was_silent = True
             self._observe(ProbeOutcome.SILENT)
         except (UpstreamUnavailableError, UpstreamStatementError) as error:
             self._drop()
--- a/packages/bronzescale-proxy/tests/test_fleet.py
+++ b/packages/bronzescale-proxy/tests/test_fleet.py
@@ -79,6 +79,19 @@
     run(test)
 
 
+def test_silent_connections_are_given_up_long_before_the_deadline():
+    async def test(fleet):
+        connection = await fleet.connect("p-b")
+        await ask(connection, "CREATE TABLE t (id INT PRIMARY KEY)")
+        await ask(connection, "SET @bronzescale_deadline_ms = 20000")
+        fleet.servers["db-0-a"].silence()
+        gap_s = await save_until(connection, "REPLACE INTO t VALUES (1)")
+        assert gap_s < GAP_LIMIT_S
+        assert fleet.primary_of().name == "db-0-a"
+
+    run(test)
+
+
 def test_replaced_primary_acknowledges_nothing():
     async def test(fleet):
         inside = await fleet.connect("p-b")
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench.py
@@ -26,6 +26,7 @@
 SAVE_EVERY = 20
 CONNECT_CHUNK = 50
 PATIENCE_MS = 500
+GAP_FAULTS = ("stop", "cut", "store slow", "proxy dead", "silence")
 OVERLOAD_CALLERS = 600
 
 app = cyclopts.App(name="bench", help="Measure the proxy against its stand-ins.")
@@ -315,10 +316,16 @@
 
 
 @app.command
-def failover(file: Path = DEFAULT_FILE, *, rounds: int = 5, as_json: AsJson = False):
+def failover(
+    file: Path = DEFAULT_FILE,
+    *,
+    rounds: int = 5,
+    faults: tuple[str, ...] = GAP_FAULTS,
+    as_json: AsJson = False,
+):
     """Measure the failover gap that a caller sees, over several faults."""
     rows = []
-    for fault in ("stop", "cut", "store slow", "proxy dead", "silence"):
+    for fault in faults:
         gaps = []
         for _ in range(rounds):
             options = FleetOptions(
