Move request keys into a module and quote with one function

Cause: the owner's module held the statements of request keys and a quoting of its own beside that of prepared statements. Change: request_keys; one function writes literals. Imports of two tests moved up. Conclusion: no behaviour changed.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -1,6 +1,5 @@
 """Run statements at one database: admission, connections, transactions, answers."""
 
-import hashlib
 import logging
 from contextlib import asynccontextmanager, contextmanager
 
@@ -30,6 +29,12 @@
     UpstreamUnavailableError,
 )
 from bronzescale_proxy.pool import ConnectionPool, plan_permits
+from bronzescale_proxy.request_keys import (
+    find_key_sql,
+    finish_key_sql,
+    insert_key_sql,
+    statement_digest,
+)
 from bronzescale_proxy.upstream import OkAnswer
 
 logger = logging.getLogger("bronzescale.owner")
@@ -293,7 +298,7 @@
             with self._failing_as(Progress.SENT), self._until_deadline(request):
                 await connection.run("BEGIN")
                 try:
-                    await connection.run(_insert_key_sql(request))
+                    await connection.run(insert_key_sql(request))
                 except UpstreamStatementError as error:
                     if error.code != ER_DUPLICATE_KEY:
                         await self._fail_keyed(connection, error)
@@ -304,7 +309,7 @@
                     await self._fail_keyed(connection, error)
                 if not isinstance(ok, OkAnswer):
                     ok = OkAnswer(0, 0, 0, ORIGIN)
-                await connection.run(_finish_key_sql(request, ok))
+                await connection.run(finish_key_sql(request, ok))
                 committed = await connection.run("COMMIT")
                 return committed.position, ok
 
@@ -316,8 +321,8 @@
 
     async def _recorded(self, connection, request):
         await connection.run("ROLLBACK")
-        rows = await connection.run(_find_key_sql(request))
-        if not rows or rows[0][0] != _digest(request.sql):
+        rows = await connection.run(find_key_sql(request))
+        if not rows or rows[0][0] != statement_digest(request.sql):
             raise UpstreamStatementError(
                 "the request key belongs to another statement; use a new key",
                 ER_DUPLICATE_KEY,
@@ -623,34 +628,3 @@
         if isinstance(error, UpstreamStatementError) and error.code in READ_ONLY_CODES:
             raise AttemptFailedError(Progress.REFUSED, str(error)) from error
         return False
-
-
-def _digest(sql):
-    return hashlib.sha256(sql.encode()).hexdigest()
-
-
-def _quote(text):
-    return "'" + text.replace("\\", "\\\\").replace("'", "''") + "'"
-
-
-def _insert_key_sql(request):
-    return (
-        "INSERT INTO bronzescale_request (request_key, statement_digest, "
-        "affected_rows, insert_id) VALUES "
-        f"({_quote(request.request_key)}, '{_digest(request.sql)}', 0, 0)"
-    )
-
-
-def _finish_key_sql(request, ok):
-    return (
-        f"UPDATE bronzescale_request SET affected_rows = {ok.affected_rows}, "
-        f"insert_id = {ok.insert_id} "
-        f"WHERE request_key = {_quote(request.request_key)}"
-    )
-
-
-def _find_key_sql(request):
-    return (
-        "SELECT statement_digest, affected_rows, insert_id FROM bronzescale_request "
-        f"WHERE request_key = {_quote(request.request_key)}"
-    )
--- a/packages/bronzescale-proxy/tests/test_fleet.py
+++ b/packages/bronzescale-proxy/tests/test_fleet.py
@@ -3,13 +3,14 @@
 import time
 
 import anyio
+import httpx
 import pytest
 from asyncmy import errors
 
 from bronzescale_core.groups import Phase
 from bronzescale_proxy.clock import monotonic_ms
 from bronzescale_proxy.conf import Settings
-from bronzescale_proxy.exceptions import PermitUnavailableError
+from bronzescale_proxy.exceptions import PeerUnavailableError, PermitUnavailableError
 from bronzescale_proxy.pool import (
     ConnectionPool,
     UpstreamConnector,
@@ -292,10 +293,8 @@
     async def test(fleet):
         client = fleet.proxies["p-b"].node.peers
         node = fleet.proxies["p-a"].node.membership.own
-        from bronzescale_proxy.exceptions import PeerUnavailableError
-
         with pytest.raises(PeerUnavailableError, match="another node answers") as error:
-            await client.link(node._replace(name="p-old", address=node.address + ""))
+            await client.link(node._replace(name="p-old", address=node.address))
         assert not error.value.is_sent
 
     async def fresh(fleet):
@@ -375,8 +374,6 @@
 
 def test_dump_and_readiness():
     async def test(fleet):
-        import httpx
-
         app = fleet.proxies["p-a"]
         url = f"http://127.0.0.1:{app.admin_port}"
         async with httpx.AsyncClient(trust_env=False) as client:
