--- a/packages/bronzescale-core/src/bronzescale_core/detection.py
+++ b/packages/bronzescale-core/src/bronzescale_core/detection.py
@@ -16,6 +16,23 @@
 OBSERVER_PAUSE_MS = 1_600
 
 
+class DetectionLimits(NamedTuple):
+    """How much evidence makes a database count as down.
+
+    Parameters
+    ----------
+    refused_streak, silent_streak : int
+        Failed probes in a row.
+    refused_span_ms, silent_span_ms : int
+        Time that they span at least.
+    """
+
+    refused_streak: int = REFUSED_STREAK
+    refused_span_ms: int = REFUSED_SPAN_MS
+    silent_streak: int = SILENT_STREAK
+    silent_span_ms: int = SILENT_SPAN_MS
+
+
 class ProbeOutcome(Enum):
     """What came back from one probe."""
 
@@ -54,9 +71,12 @@
     ----------
     now_ms : int
         Time of creation.
+    limits : DetectionLimits
+        How much evidence it takes.
     """
 
-    def __init__(self, now_ms):
+    def __init__(self, now_ms, limits=DetectionLimits()):  # noqa: B008
+        self._limits = limits
         self._answered_at_ms = now_ms
         self._observed_at_ms = now_ms
         self._failing_since_ms = None
@@ -102,11 +122,14 @@
         if not self._failures:
             return Finding(Verdict.ALIVE, "the last probe was answered")
         span_ms = now_ms - self._failing_since_ms
-        if self._refusals >= REFUSED_STREAK and span_ms >= REFUSED_SPAN_MS:
+        limits = self._limits
+        is_refused = self._refusals >= limits.refused_streak
+        if is_refused and span_ms >= limits.refused_span_ms:
             reason = f"{self._refusals} connections refused over {span_ms} ms"
             return Finding(Verdict.DOWN, reason)
         silent_ms = now_ms - self._answered_at_ms
-        if self._failures >= SILENT_STREAK and silent_ms >= SILENT_SPAN_MS:
+        is_silent = self._failures >= limits.silent_streak
+        if is_silent and silent_ms >= limits.silent_span_ms:
             reason = f"{self._failures} probes unanswered, silent for {silent_ms} ms"
             return Finding(Verdict.DOWN, reason)
         return Finding(Verdict.SUSPECT, f"{self._failures} probes failed")
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/leadership.py
@@ -0,0 +1,209 @@
+"""Prove that a primary still leads, and sample its log for reads of a stated age.
+
+A proof holds for `LEAD_LEASE_MS` from the moment its question was sent. Whoever
+replaces a primary waits that long after claiming the next term and pausing the copy
+that takes over, so that no proof of the old term is in force when the new one begins.
+Times are read from a clock that counts suspended time.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from bronzescale_core.positions import Position
+
+# Bounds the wait of a promotion; three probes at their interval fit into it.
+LEAD_LEASE_MS = 700
+# Clocks of two hosts may run apart; a promoter waits this much longer.
+LEASE_MARGIN_MS = 50
+# A probe of each copy serves all statements of this time.
+PROBE_INTERVAL_MS = 220
+# Samples further apart than this would make replicas look older than they are.
+SAMPLE_SPACING_MS = 40
+# Covers ages up to several seconds at the sample spacing.
+MAX_SAMPLES = 250
+
+
+class LeadProof(NamedTuple):
+    """A primary that provably led its term at a moment.
+
+    Parameters
+    ----------
+    upstream : str
+        The primary.
+    term : int
+        Its term.
+    asked_at_ms : int
+        When the question was sent whose answer proves it.
+    """
+
+    upstream: str
+    term: int
+    asked_at_ms: int
+
+
+class HeadSample(NamedTuple):
+    """A head of the log that covers all commits acknowledged before a moment."""
+
+    position: Position
+    valid_at_ms: int
+
+
+class Lead:
+    """Proofs and head samples of one service, as one node knows them."""
+
+    def __init__(self):
+        self._proof = None
+        self._samples = deque(maxlen=MAX_SAMPLES)
+        self._pending = None
+
+    @property
+    def proof(self):
+        """Return the newest proof, perhaps expired, or None."""
+        return self._proof
+
+    def prove(self, upstream, term, asked_at_ms):
+        """Take a proof.
+
+        Parameters
+        ----------
+        upstream : str
+            The primary.
+        term : int
+            Its term.
+        asked_at_ms : int
+            When the question was sent.
+        """
+        known = self._proof
+        if known is not None and (term, asked_at_ms) <= (known.term, known.asked_at_ms):
+            return
+        self._proof = LeadProof(upstream, term, asked_at_ms)
+        self._settle()
+
+    def revoke(self):
+        """Forget the proof, since a change of primary has begun."""
+        self._proof = None
+        self._pending = None
+
+    def is_proven(self, upstream, now_ms):
+        """Tell whether a database provably leads now.
+
+        Parameters
+        ----------
+        upstream : str
+            The database.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        bool
+        """
+        proof = self._proof
+        if proof is None or proof.upstream != upstream:
+            return False
+        return now_ms < proof.asked_at_ms + LEAD_LEASE_MS
+
+    def sample(self, upstream, position, sent_at_ms):
+        """Take the primary's log position from an answer of its own.
+
+        Parameters
+        ----------
+        upstream : str
+            Who answered.
+        position : Position
+            The log's end when it answered.
+        sent_at_ms : int
+            When the statement was sent to it.
+        """
+        if self.is_proven(upstream, sent_at_ms):
+            self.add_sample(HeadSample(position, sent_at_ms))
+        else:
+            self._pending = (upstream, HeadSample(position, sent_at_ms))
+
+    def add_sample(self, sample):
+        """Keep a sample unless a newer one of the same spacing is there."""
+        newest = self._samples[-1] if self._samples else None
+        if newest is not None:
+            if sample.valid_at_ms <= newest.valid_at_ms:
+                return
+            if sample.position < newest.position:
+                # A head below a known one is of an older term.
+                return
+        if len(self._samples) >= 2:
+            spacing_ms = sample.valid_at_ms - self._samples[-2].valid_at_ms
+            if spacing_ms < SAMPLE_SPACING_MS:
+                self._samples.pop()
+        self._samples.append(sample)
+
+    def newest(self):
+        """Return the newest head sample or None."""
+        return self._samples[-1] if self._samples else None
+
+    def head_since(self, since_ms):
+        """Return the oldest known head that is valid at ``since_ms`` or later.
+
+        Parameters
+        ----------
+        since_ms : int
+            Every commit acknowledged before this moment must be covered.
+
+        Returns
+        -------
+        HeadSample or None
+        """
+        for sample in self._samples:
+            if sample.valid_at_ms >= since_ms:
+                return sample
+        return None
+
+    def _settle(self):
+        """Keep the sample that waited for this proof."""
+        if self._pending is None:
+            return
+        upstream, sample = self._pending
+        if self.is_proven(upstream, sample.valid_at_ms):
+            self.add_sample(sample)
+        self._pending = None
+
+
+def copies_prove_lead(primary, statuses):
+    """Tell whether the copies show that no promotion is under way.
+
+    Parameters
+    ----------
+    primary : CopyStatus or None
+        What the primary said.
+    statuses : sequence of CopyStatus or None
+        What every other copy said; None for one that did not answer.
+
+    Returns
+    -------
+    bool
+    """
+    if primary is None or not primary.is_primary or not statuses:
+        return False
+    return all(
+        status is not None
+        and not status.is_primary
+        and status.term <= primary.term
+        and status.held_term <= primary.term
+        for status in statuses
+    )
+
+
+def floor_for(session_floor, head):
+    """Return the position that a read must see.
+
+    Parameters
+    ----------
+    session_floor : Position
+        The session's last commit.
+    head : Position
+        Head that the stated age asks for; of a later term it covers what survived of
+        the session's commits.
+
+    Returns
+    -------
+    Position
+    """
+    return max(session_floor, head)
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/placement.py
@@ -0,0 +1,105 @@
+"""Order the databases that may serve a read by distance, load and recent failures."""
+
+from typing import NamedTuple
+
+# Extra time for one statement per slot in front; a typical read takes as long.
+QUEUE_COST_MS = 25.0
+# Round trips within a zone, a region and between regions.
+ZONE_COST_MS = 0.5
+REGION_COST_MS = 4.0
+FAR_COST_MS = 62.0
+# The primary alone can serve saves; reads leave it alone while replicas have room.
+PRIMARY_COST_MS = 12.0
+# A word on load is half forgotten after this time.
+LOAD_HALF_LIFE_MS = 150.0
+# A database that failed comes last for this long.
+PENALTY_MS = 500
+
+
+class _Seen(NamedTuple):
+    load: float
+    at_ms: int
+
+
+class Placement:
+    """What one node knows of the load and the failures of databases.
+
+    Parameters
+    ----------
+    zone, region : str
+        Where this node stands.
+    regions : dict of str to str
+        Region of each availability zone.
+    """
+
+    def __init__(self, zone, region, regions):
+        self._zone = zone
+        self._region = region
+        self._regions = regions
+        self._seen = {}
+        self._penalised_until_ms = {}
+        self._in_flight = {}
+
+    def note_load(self, instance, load, now_ms):
+        """Take a database's word on its load."""
+        self._seen[instance] = _Seen(load, now_ms)
+
+    def penalise(self, instance, now_ms, penalty_ms=PENALTY_MS):
+        """Prefer other databases for a while."""
+        self._penalised_until_ms[instance] = now_ms + penalty_ms
+
+    def begin(self, instance):
+        """Count a statement that this node has sent to a database."""
+        self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
+
+    def end(self, instance):
+        """Count the end of such a statement."""
+        left = self._in_flight.get(instance, 1) - 1
+        if left:
+            self._in_flight[instance] = left
+        else:
+            self._in_flight.pop(instance, None)
+
+    def order(self, copies, primary, now_ms):
+        """Return databases for a read, best first.
+
+        Parameters
+        ----------
+        copies : iterable of Copy
+            Databases of the service.
+        primary : str or None
+            The believed primary.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        list of Copy
+        """
+        usable = [copy for copy in copies if not copy.is_leaving] or list(copies)
+        return sorted(usable, key=lambda copy: self._key(copy, primary, now_ms))
+
+    def cost_ms(self, copy, primary, now_ms):
+        """Return about how long a read takes until it runs at a database."""
+        cost_ms = self._distance_ms(copy)
+        if copy.instance == primary:
+            cost_ms += PRIMARY_COST_MS
+        own = self._in_flight.get(copy.instance, 0) / max(1, copy.slots)
+        load = max(self._load(copy.instance, now_ms), own)
+        return cost_ms + QUEUE_COST_MS * load
+
+    def _key(self, copy, primary, now_ms):
+        is_penalised = self._penalised_until_ms.get(copy.instance, 0) > now_ms
+        return is_penalised, self.cost_ms(copy, primary, now_ms), copy.instance
+
+    def _load(self, instance, now_ms):
+        seen = self._seen.get(instance)
+        if seen is None:
+            return 0.0
+        return seen.load * 0.5 ** ((now_ms - seen.at_ms) / LOAD_HALF_LIFE_MS)
+
+    def _distance_ms(self, copy):
+        if copy.zone == self._zone:
+            return ZONE_COST_MS
+        is_near = self._regions.get(copy.zone, "") == self._region
+        return REGION_COST_MS if is_near else FAR_COST_MS
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/work.py
@@ -0,0 +1,244 @@
+"""Describe work on pooled upstream connections, whichever protocol brought it."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from bronzescale_core.positions import ORIGIN, Position
+
+NO_AGE_LIMIT = -1
+NO_TRANSACTION = 0
+
+
+class Action(Enum):
+    """What a caller's statement asks for."""
+
+    READ = "read"
+    WRITE = "write"
+    BEGIN = "begin"
+    BEGIN_READ_ONLY = "begin_read_only"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    DEALLOCATE = "deallocate"
+
+
+class Outcome(Enum):
+    """How a statement ended."""
+
+    DONE = "done"
+    BUSY = "busy"
+    BEHIND = "behind"
+    READ_ONLY = "read_only"
+    WRONG_INSTANCE = "wrong_instance"
+    TOO_MANY = "too_many"
+    FAILED = "failed"
+    NO_STATEMENT = "no_statement"
+    TIMEOUT = "timeout"
+    ABORTED = "aborted"
+    UNKNOWN = "unknown"
+    MALFORMED = "malformed"
+    NO_DATABASE = "no_database"
+    TOO_BIG = "too_big"
+
+
+# Answers of a database that mean that the statement did not run there.
+NOT_RUN_OUTCOMES = frozenset(
+    (
+        Outcome.BUSY,
+        Outcome.BEHIND,
+        Outcome.READ_ONLY,
+        Outcome.WRONG_INSTANCE,
+        Outcome.TOO_MANY,
+        Outcome.NO_STATEMENT,
+    )
+)
+
+
+class Shape(NamedTuple):
+    """What a prepared statement does.
+
+    Parameters
+    ----------
+    is_write : bool
+        Whether it writes.
+    text : str
+        Its shape, opaque to the proxy.
+    """
+
+    is_write: bool
+    text: str
+
+
+class CallerStatement(NamedTuple):
+    """One statement of a caller.
+
+    Parameters
+    ----------
+    request_id : str
+        The caller's name for the request.
+    action : Action
+        What it asks for.
+    text : str
+        Its text, unchanged.
+    name : str
+        Session value or prepared statement that it names.
+    argument : str
+        Value of a ``set``, shape of a ``prepare``, arguments of an ``execute``.
+    is_write : bool
+        Whether a prepared statement writes.
+    """
+
+    request_id: str
+    action: Action
+    text: str
+    name: str = ""
+    argument: str = ""
+    is_write: bool = False
+
+
+class WorkStep(Enum):
+    """Where a statement stands in its transaction."""
+
+    SINGLE = "single"
+    OPEN = "open"
+    CONTINUE = "continue"
+    COMMIT = "commit"
+    OPEN_AND_COMMIT = "open_and_commit"
+
+
+class Work(NamedTuple):
+    """A statement on its way to the owner of a database.
+
+    Parameters
+    ----------
+    service : str
+        Service that the caller's route names.
+    upstream : str
+        Database that should run it.
+    step : WorkStep
+        Where it stands in its transaction.
+    request_id : str
+        The caller's name for the request.
+    text : str
+        Text for the database.
+    is_write : bool
+        Whether it may change data.
+    is_read_only : bool
+        For step ``OPEN``: whether the transaction only reads.
+    values : tuple of (str, str)
+        Session values that must hold, sorted by name.
+    prepared_name : str
+        Prepared statement that it executes; empty for none.
+    prepared : Shape or None
+        What that name must stand for.
+    floor : Position
+        Position that a read must see.
+    max_age_ms : int
+        How old a read may be; `NO_AGE_LIMIT` for no limit.
+    needs_lead : bool
+        Whether only the proven primary may run it.
+    transaction_id : int
+        Transaction at the owner; `NO_TRANSACTION` outside of one.
+    priority : int
+        0 is the most urgent.
+    deadline_ms : int
+        When the statement must have ended, on this node's clock.
+    received_at_ms : int
+        When this node learned of it, on this node's clock.
+    """
+
+    service: str
+    upstream: str
+    step: WorkStep
+    request_id: str
+    text: str
+    is_write: bool = False
+    is_read_only: bool = False
+    values: tuple = ()
+    prepared_name: str = ""
+    prepared: Shape | None = None
+    floor: Position = ORIGIN
+    max_age_ms: int = NO_AGE_LIMIT
+    needs_lead: bool = False
+    transaction_id: int = NO_TRANSACTION
+    priority: int = 1
+    deadline_ms: int = 0
+    received_at_ms: int = 0
+
+
+class Reach(Enum):
+    """How far a statement came."""
+
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    SENT = "sent"
+    ANSWERED = "answered"
+
+
+class WorkAnswer(NamedTuple):
+    """What became of a `Work`.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        How it ended.
+    reach : Reach
+        How far it came; only ``SENT`` leaves the outcome unknown.
+    reason : str
+        The database's error text, or why there is no answer.
+    rows : tuple of str
+        Rows of the answer.
+    receipt : str
+        The database's proof that it ran the statement.
+    position : Position
+        What the database's log held after the statement.
+    transaction_id : int
+        Transaction that stays open at the owner.
+    retry_after_ms : int
+        When coming back may help; 0 for at once.
+    load : float
+        Statements per slot at the database, running and waiting.
+    is_unreachable : bool
+        Whether another owner may reach the database.
+    """
+
+    outcome: Outcome
+    reach: Reach = Reach.ANSWERED
+    reason: str = ""
+    rows: tuple = ()
+    receipt: str = ""
+    position: Position = ORIGIN
+    transaction_id: int = NO_TRANSACTION
+    retry_after_ms: int = 0
+    load: float = 0.0
+    is_unreachable: bool = False
+
+
+def may_run_elsewhere(work, answer):
+    """Tell whether a failed statement may be given to another database or owner.
+
+    Parameters
+    ----------
+    work : Work
+        The statement.
+    answer : WorkAnswer
+        What became of it.
+
+    Returns
+    -------
+    bool
+    """
+    if answer.outcome is Outcome.DONE or work.step in (
+        WorkStep.CONTINUE,
+        WorkStep.COMMIT,
+    ):
+        return False
+    if answer.reach in (Reach.NOT_SENT, Reach.REFUSED):
+        return True
+    if answer.reach is Reach.ANSWERED and answer.outcome in NOT_RUN_OUTCOMES:
+        return True
+    # An open transaction that nobody can reach again is rolled back.
+    is_open = work.step in (WorkStep.OPEN, WorkStep.OPEN_AND_COMMIT)
+    return is_open or not work.is_write
--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -124,6 +124,46 @@
   2: i64 incarnation,
 }
 
+struct WireValue {
+  1: string name,
+  2: string value,
+}
+
+struct WireWork {
+  1: string service_name,
+  2: string upstream,
+  3: i32 step,
+  4: string request_id,
+  5: string text,
+  6: bool is_write,
+  7: bool is_read_only,
+  8: list<WireValue> session_values,
+  9: string prepared_name,
+  10: string shape,
+  11: i64 floor_term,
+  12: i64 floor_offset,
+  13: i64 max_age_ms,
+  14: bool needs_lead,
+  15: i64 transaction_id,
+  16: i32 priority,
+  17: i64 remaining_ms,
+  18: bool is_shape_write,
+}
+
+struct WireAnswer {
+  1: string outcome,
+  2: string reach,
+  3: string reason,
+  4: list<string> rows,
+  5: string receipt,
+  6: i64 term,
+  7: i64 offset,
+  8: i64 transaction_id,
+  9: i64 retry_after_ms,
+  10: double load,
+  11: bool is_unreachable,
+}
+
 union Body {
   1: WireHeartbeat heartbeat,
   2: WireStatement statement,
@@ -139,6 +179,8 @@
   12: WireObjectsRequest objects_request,
   13: WireObjects objects,
   14: WireHello hello,
+  15: WireWork work,
+  16: WireAnswer answer,
 }
 
 struct Envelope {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
@@ -31,6 +31,14 @@
         self.version = version
 
 
+class StoreThrottledError(StoreUnavailableError):
+    """The store refuses calls for now; nothing was done."""
+
+
+class HistoryGoneError(StoreError):
+    """A watch cannot go on from its revision; list the objects again."""
+
+
 class UpstreamUnavailableError(BronzescaleError):
     """A database could not be reached, or its connection was lost.
 
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers of a line protocol over pooled upstream connections."""
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -0,0 +1,237 @@
+"""Wire the parts of one fleet process: the composition root."""
+
+import random
+import signal
+from contextlib import AsyncExitStack
+from typing import NamedTuple
+
+import anyio
+
+from bronzescale_core.membership import Membership
+from bronzescale_core.rendezvous import Node
+from bronzescale_proxy import wire
+from bronzescale_proxy.fleet.clock import now_ms, wall_ms
+from bronzescale_proxy.fleet.dispatch import Dispatcher
+from bronzescale_proxy.fleet.entry import CallerServer
+from bronzescale_proxy.fleet.node import FleetNode
+from bronzescale_proxy.fleet.pages import PageServer, json_page
+from bronzescale_proxy.fleet.promotion import Promoter
+from bronzescale_proxy.fleet.serving import FleetService
+from bronzescale_proxy.fleet.spread import Spreader
+from bronzescale_proxy.fleet.streams import bind_listener, wrap_listener
+from bronzescale_proxy.peers import PeerClient, PeerServer
+
+# The balancer notices an unready node after two questions a second apart.
+UNREADY_NOTICED_MS = 2_300
+# Open transactions may use the first half of the grace time.
+TRANSACTIONS_SHARE = 0.5
+# Time left for the last answers before the process is killed.
+STOP_MARGIN_MS = 700
+POLL_S = 0.05
+
+
+class Adapter(NamedTuple):
+    """What a platform's adapter gives to a process.
+
+    Parameters
+    ----------
+    codec : LineCodec
+        The line protocol.
+    documents : module
+        Decodes the platform's documents.
+    store : object
+        Client of the platform's store.
+    orders : object
+        Gives the platform's orders to promote.
+    reload : callable
+        Return the settings as they are now.
+    """
+
+    codec: object
+    documents: object
+    store: object
+    orders: object
+    reload: object
+
+
+class FleetProcess:
+    """One process of the fleet.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Checked settings.
+    adapter : Adapter
+        Speaks the platform's protocols.
+    metrics : FleetMetrics
+        Counters and histograms.
+    log : DecisionLog
+        Structured log.
+    """
+
+    def __init__(self, settings, adapter, metrics, log):
+        self._settings = settings
+        self._adapter = adapter
+        self._metrics = metrics
+        self._log = log
+        self._started_at_ms = now_ms()
+        self._is_ready_logged = False
+        own = Node(
+            settings.node,
+            settings.peer_address,
+            settings.zone,
+            settings.region,
+            wall_ms(),
+        )
+        self._own = own
+        self.node = None
+        self._spreader = None
+        self._callers = None
+        self._stop_asked = anyio.Event()
+
+    def is_ready(self):
+        """Return whether the balancer may send callers here."""
+        is_ready = (
+            self.node is not None
+            and self.node.configuration is not None
+            and self._spreader.is_informed
+            and not self.node.is_stopping
+        )
+        if is_ready and not self._is_ready_logged:
+            self._is_ready_logged = True
+            self._log.believe("ready", after_ms=now_ms() - self._started_at_ms)
+        return is_ready
+
+    async def run(self):
+        """Run until SIGTERM, then stop gracefully."""
+        settings = self._settings
+        async with AsyncExitStack() as stack, anyio.create_task_group() as tasks:
+            peers = PeerClient(tasks, self._metrics.frame)
+            self.node = FleetNode(
+                settings,
+                Membership(self._own),
+                self._adapter.store,
+                peers,
+                self._adapter.codec,
+                self._adapter.documents,
+                self._metrics,
+                self._log,
+            )
+            seed = f"{settings.node}:{wall_ms()}"
+            self._spreader = Spreader(self.node, random.Random(seed))
+            self.node.new_service_listeners.append(
+                lambda service: tasks.start_soon(
+                    Promoter(self.node, self._adapter.orders, service).run
+                )
+            )
+            self._callers = CallerServer(self.node, Dispatcher(self.node))
+            peer_server = PeerServer(
+                FleetService(self.node, self._spreader),
+                lambda: wire.Hello(self._own.name, self._own.incarnation),
+                self._metrics.frame,
+            )
+            await self._serve(
+                settings.peer_address, peer_server.serve_stream, stack, tasks
+            )
+            await self._serve(
+                settings.ready_address, self._pages().serve_stream, stack, tasks
+            )
+            if settings.metrics_address:
+                await self._serve(
+                    settings.metrics_address, self._pages().serve_stream, stack, tasks
+                )
+            await self._serve(
+                settings.caller_address, self._callers.serve_stream, stack, tasks
+            )
+            tasks.start_soon(self.node.run)
+            tasks.start_soon(self._spreader.run)
+            tasks.start_soon(self._take_signals)
+            self._log.believe("started", zone=settings.zone)
+            await self._stop_asked.wait()
+            await self._stop()
+            tasks.cancel_scope.cancel()
+        self._log.believe("stopped")
+        self._log.flush()
+
+    async def _serve(self, address, handler, stack, tasks):
+        listener = await wrap_listener(bind_listener(address))
+        stack.push_async_callback(_close_shielded, listener)
+        tasks.start_soon(listener.serve, handler)
+
+    def _pages(self):
+        pages = {
+            "/metrics": lambda: (200, "text/plain", self._metrics.render()),
+            "/state": json_page(self.dump),
+        }
+        return PageServer(pages, self._ready_page)
+
+    def _ready_page(self):
+        is_ready = self.is_ready()
+        return 200 if is_ready else 503, "text/plain", b"ready" if is_ready else b"no"
+
+    def dump(self):
+        """Return the state of the process for operators."""
+        node = self.node
+        return {
+            "node": self._settings.node,
+            "is_ready": self.is_ready(),
+            "configuration_version": node.configuration and node.configuration.version,
+            "callers": self._callers.open_count,
+            "peers": [
+                {"name": rumor.node.name, "status": rumor.status.name}
+                for rumor in node.membership.standings()
+            ],
+            "services": {
+                keeper.service: {
+                    "primary": keeper.primary,
+                    "proof": keeper.lead.proof,
+                    "verdict": keeper.finding().verdict.value,
+                    "copies": node.catalog.copies(keeper.service),
+                }
+                for keeper in node.keepers()
+            },
+            "owned": {owner.copy.instance: owner.load for owner in node.owners()},
+        }
+
+    async def _take_signals(self):
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGTERM:
+                    self._stop_asked.set()
+                else:
+                    self._reload()
+
+    def _reload(self):
+        settings = self._adapter.reload()
+        is_same = settings == self._settings
+        self._log.believe("settings_reloaded", is_changed=not is_same)
+
+    async def _stop(self):
+        """Turn unready, hand ownership over, end sessions between statements."""
+        began_ms = now_ms()
+        grace_ms = self._settings.stop_grace_ms
+        self.node.is_stopping = True
+        self._log.believe("stopping", callers=self._callers.open_count)
+        with anyio.move_on_after(0.5):
+            await self._spreader.announce_leaving()
+        await _sleep_until(began_ms + UNREADY_NOTICED_MS)
+        self._callers.close_idle()
+        await self._drain_until(began_ms + int(grace_ms * TRANSACTIONS_SHARE))
+        self._callers.abort_transactions()
+        await self._drain_until(began_ms + grace_ms - STOP_MARGIN_MS)
+
+    async def _drain_until(self, deadline_ms):
+        while now_ms() < deadline_ms:
+            is_idle = all(owner.is_idle for owner in self.node.owners())
+            if is_idle and not self._callers.open_count:
+                return
+            await anyio.sleep(POLL_S)
+
+
+async def _sleep_until(deadline_ms):
+    await anyio.sleep(max(0, deadline_ms - now_ms()) / 1_000)
+
+
+async def _close_shielded(resource):
+    with anyio.CancelScope(shield=True):
+        await resource.aclose()
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
@@ -0,0 +1,192 @@
+"""Bring a statement to a database that may run it, and rule on failures."""
+
+import anyio
+
+from bronzescale_core.outcomes import RetryBudget
+from bronzescale_core.placement import Placement
+from bronzescale_core.work import (
+    Outcome,
+    Reach,
+    WorkAnswer,
+    WorkStep,
+    may_run_elsewhere,
+)
+from bronzescale_proxy import wire
+from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_proxy.fleet.clock import now_ms
+
+# An owner answers this much after the deadline at the latest.
+RELAY_SLACK_MS = 250
+ROUND_PAUSE_MS = 25
+ROUND_PAUSE_MAX_MS = 120
+# A change of primary usually ends within this time.
+CHANGE_TAKES_MS = 1_500
+
+
+class Dispatcher:
+    """Choose database and owner for the statements of one node's callers.
+
+    Parameters
+    ----------
+    node : FleetNode
+        What this node knows.
+    """
+
+    def __init__(self, node):
+        self._node = node
+        settings = node.settings
+        self._placement = Placement(settings.zone, settings.region, settings.regions)
+        self._budget = RetryBudget()
+
+    async def run(self, work, opener):
+        """Run a statement that is not part of an open transaction.
+
+        Parameters
+        ----------
+        work : Work
+            The statement; its database is chosen here.
+        opener : object
+            The caller's session.
+
+        Returns
+        -------
+        answer : WorkAnswer
+        upstream : str
+            Database that answered last.
+        owner : Node or None
+            Node that answered last; None for this node.
+        """
+        self._budget.deposit()
+        pause_ms = ROUND_PAUSE_MS
+        last = None
+        while True:
+            outcome = await self._try_round(work, opener, last)
+            if outcome is not None:
+                answer = outcome[0]
+                if answer.outcome is Outcome.DONE or not self._may_go_on(work, answer):
+                    return outcome
+                last = outcome
+            if now_ms() + pause_ms >= work.deadline_ms:
+                return last or (self._no_upstream(work), "", None)
+            event = self._node.changed
+            with anyio.move_on_after(pause_ms / 1_000):
+                await event.wait()
+            pause_ms = min(ROUND_PAUSE_MAX_MS, pause_ms * 2)
+
+    async def run_in_transaction(self, work, opener, owner):
+        """Run a statement of an open transaction where it lives."""
+        answer = await self._send(work, opener, owner)
+        self._placement.note_load(work.upstream, answer.load, now_ms())
+        return answer
+
+    async def end_transaction(self, upstream, transaction_id, owner):
+        """Roll back a transaction whose caller ended it or is gone."""
+        if owner is None:
+            local = self._node.owner(upstream)
+            if local is not None:
+                await local.roll_back(transaction_id)
+            return
+        message = wire.EndTransaction(upstream, transaction_id)
+        await self._node.peers.tell(owner, message)
+
+    def _may_go_on(self, work, answer):
+        if not may_run_elsewhere(work, answer):
+            return False
+        return not (answer.reach is Reach.SENT and not self._budget.withdraw())
+
+    def _no_upstream(self, work):
+        return WorkAnswer(
+            Outcome.BUSY,
+            Reach.NOT_SENT,
+            f"no database of {work.service} can run this now",
+            retry_after_ms=CHANGE_TAKES_MS,
+        )
+
+    async def _try_round(self, work, opener, last):
+        """Try each candidate once; return the last answer or None."""
+        outcome = last
+        for copy in self._candidates(work):
+            routed = work._replace(upstream=copy.instance)
+            answer, owner = await self._try_owners(routed, opener)
+            self._placement.note_load(copy.instance, answer.load, now_ms())
+            outcome = answer, copy.instance, owner
+            if answer.outcome is Outcome.DONE:
+                return outcome
+            self._note_failure(routed, answer, owner)
+            if not may_run_elsewhere(work, answer):
+                return outcome
+            if now_ms() >= work.deadline_ms:
+                return outcome
+        return outcome
+
+    def _candidates(self, work):
+        copies = self._node.catalog.copies(work.service)
+        primary = self._node.keeper(work.service).primary
+        if work.needs_lead or work.is_write:
+            return [copy for copy in copies if copy.instance == primary]
+        return self._placement.order(copies, primary, now_ms())
+
+    async def _try_owners(self, work, opener):
+        answer = None
+        owner = None
+        for owner in self._node.owners_of(work.upstream):
+            answer = await self._send(work, opener, owner)
+            is_next_useful = answer.reach is Reach.NOT_SENT and answer.is_unreachable
+            if not is_next_useful or now_ms() >= work.deadline_ms:
+                return answer, owner
+        if answer is None:
+            answer = WorkAnswer(Outcome.BUSY, Reach.NOT_SENT, "no node can reach it")
+        return answer, owner
+
+    def _note_failure(self, work, answer, owner):
+        is_full = answer.outcome is Outcome.BUSY and answer.retry_after_ms
+        if answer.outcome is not Outcome.BEHIND and not is_full:
+            self._placement.penalise(work.upstream, now_ms())
+        self._node.metrics.count_failure(answer.outcome.value)
+        self._node.log.decide(
+            "attempt_failed",
+            request=work.request_id,
+            service=work.service,
+            upstream=work.upstream,
+            owner=owner.name if owner is not None else self._node.settings.node,
+            outcome=answer.outcome.value,
+            reach=answer.reach.value,
+            reason=answer.reason,
+            left_ms=work.deadline_ms - now_ms(),
+        )
+
+    async def _send(self, work, opener, owner):
+        self._placement.begin(work.upstream)
+        try:
+            if owner is None:
+                return await self._run_here(work, opener)
+            return await self._relay(work, owner)
+        finally:
+            self._placement.end(work.upstream)
+
+    async def _run_here(self, work, opener):
+        local = self._node.owner(work.upstream)
+        if local is None:
+            return WorkAnswer(
+                Outcome.BUSY, Reach.NOT_SENT, "the database is not known here yet"
+            )
+        return await local.execute(work, opener)
+
+    async def _relay(self, work, owner):
+        remaining_ms = work.deadline_ms - now_ms() + RELAY_SLACK_MS
+        try:
+            answer = await self._node.peers.ask(owner, work, remaining_ms / 1_000)
+        except PeerUnavailableError as error:
+            reach = Reach.SENT if error.is_sent else Reach.NOT_SENT
+            outcome = Outcome.UNKNOWN if error.is_sent else Outcome.BUSY
+            return WorkAnswer(outcome, reach, str(error), is_unreachable=True)
+        if isinstance(answer, WorkAnswer):
+            return answer
+        return WorkAnswer(Outcome.BUSY, Reach.NOT_SENT, "the owner does not serve this")
+
+
+def is_final_step(work):
+    """Return whether a statement may have committed something."""
+    return work.step in (WorkStep.COMMIT, WorkStep.OPEN_AND_COMMIT) or (
+        work.step is WorkStep.SINGLE and work.is_write
+    )
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -0,0 +1,290 @@
+"""Keep the proof that a service's primary leads, and notice when it is down."""
+
+import anyio
+
+from bronzescale_core.catalog import believed_primary
+from bronzescale_core.detection import (
+    DetectionLimits,
+    FailureDetector,
+    Finding,
+    ProbeOutcome,
+    Verdict,
+)
+from bronzescale_core.groups import Phase
+from bronzescale_core.leadership import (
+    LEAD_LEASE_MS,
+    PROBE_INTERVAL_MS,
+    HeadSample,
+    Lead,
+    copies_prove_lead,
+)
+from bronzescale_proxy import wire
+from bronzescale_proxy.exceptions import (
+    PeerUnavailableError,
+    StoreUnavailableError,
+    UpstreamUnavailableError,
+)
+from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.fleet.control import probe_outcome
+
+# A keeper goes on probing this long after its last use.
+USE_LASTS_MS = 3_000
+# Half of the lease: the store is asked when the copies alone have not proved it.
+STORE_PROOF_AFTER_MS = LEAD_LEASE_MS // 2
+# Watchers of a primary probe it this often; the detector counts three of them.
+WATCH_INTERVAL_MS = 400
+# An owner in another region answers within 130 ms, its probe of the primary included.
+HEAD_TIMEOUT_S = 0.4
+# A busy database answers BUSY at once, so that silence of three probes is no load.
+DETECTION = DetectionLimits(
+    refused_streak=3, refused_span_ms=500, silent_streak=3, silent_span_ms=1_300
+)
+
+
+class LeadKeeper:
+    """Knowledge of one service's primary at one node.
+
+    Parameters
+    ----------
+    node : FleetNode
+        What this node knows.
+    service : str
+        Name of the service.
+    """
+
+    def __init__(self, node, service):
+        self._node = node
+        self.service = service
+        self.lead = Lead()
+        self.detector = FailureDetector(now_ms(), DETECTION)
+        self._detected = ""
+        self._used_at_ms = 0
+        self._proved = anyio.Event()
+        self._head_lock = anyio.Lock()
+        self.statuses = {}
+
+    @property
+    def primary(self):
+        """Return the id of the believed primary or None."""
+        return believed_primary(
+            self._node.catalog.copies(self.service), self._node.state(self.service)
+        )
+
+    def use(self):
+        """Keep the proof fresh for a while."""
+        self._used_at_ms = now_ms()
+
+    def finding(self):
+        """Return this node's verdict on the primary."""
+        if self._detected != self.primary:
+            return Finding(Verdict.ALIVE, "not probed yet")
+        return self.detector.finding(now_ms())
+
+    async def require(self, instance, until_ms):
+        """Wait until a database provably leads.
+
+        Parameters
+        ----------
+        instance : str
+            The database.
+        until_ms : int
+            When to give up.
+
+        Returns
+        -------
+        bool
+            Whether it is proven.
+        """
+        self.use()
+        while not self.lead.is_proven(instance, now_ms()):
+            remaining_ms = until_ms - now_ms()
+            if remaining_ms <= 0 or self.primary not in (instance, None):
+                return False
+            event = self._proved
+            with anyio.move_on_after(min(remaining_ms, 50) / 1_000):
+                await event.wait()
+        return True
+
+    async def head_since(self, since_ms):
+        """Return a head valid since a moment, asking the primary's owner if need be.
+
+        Parameters
+        ----------
+        since_ms : int
+            Every commit acknowledged before this moment must be covered.
+
+        Returns
+        -------
+        HeadSample or None
+        """
+        sample = self.lead.head_since(since_ms)
+        if sample is not None:
+            return sample
+        async with self._head_lock:
+            sample = self.lead.head_since(since_ms)
+            if sample is None:
+                await self._fetch_head()
+                sample = self.lead.head_since(since_ms)
+        return sample
+
+    async def _fetch_head(self):
+        asked_at_ms = now_ms()
+        for owner in self._node.owners_of(self.primary):
+            try:
+                head = await self._ask_head(owner)
+            except PeerUnavailableError:
+                continue
+            if head is not None:
+                self.lead.add_sample(HeadSample(head, asked_at_ms))
+                return
+
+    async def _ask_head(self, owner):
+        deadline_ms = now_ms() + int(HEAD_TIMEOUT_S * 1_000)
+        if owner is None:
+            return await self.fresh_head(deadline_ms)
+        request = wire.HeadRequest(self.service, deadline_ms)
+        reply = await self._node.peers.ask(owner, request, HEAD_TIMEOUT_S)
+        return reply.position if isinstance(reply, wire.HeadReply) else None
+
+    async def fresh_head(self, deadline_ms):
+        """Return a head of the primary sampled after this call, or None."""
+        primary = self.primary
+        asked_at_ms = now_ms()
+        if primary is None or not await self.require(primary, deadline_ms):
+            return None
+        newest = self.lead.newest()
+        if newest is not None and newest.valid_at_ms >= asked_at_ms:
+            return newest.position
+        control = self._node.control(primary)
+        if control is None:
+            return None
+        sent_at_ms = now_ms()
+        try:
+            status = await control.status()
+        except UpstreamUnavailableError:
+            return None
+        if not status.is_primary:
+            return None
+        self._take_status(primary, status, sent_at_ms)
+        is_proven = await self.require(primary, deadline_ms)
+        return status.received if is_proven else None
+
+    # Probing
+
+    async def run(self):
+        """Probe while this node serves or watches the primary."""
+        while True:
+            primary = self.primary
+            if primary is None:
+                await anyio.sleep(0.05)
+                continue
+            is_used = now_ms() - self._used_at_ms < USE_LASTS_MS
+            if not is_used and not self._node.watches(self.service):
+                await anyio.sleep(PROBE_INTERVAL_MS / 1_000)
+                continue
+            started_at_ms = now_ms()
+            await self._probe(primary, is_used)
+            interval_ms = PROBE_INTERVAL_MS if is_used else WATCH_INTERVAL_MS
+            left_ms = interval_ms - (now_ms() - started_at_ms)
+            await anyio.sleep(max(20, left_ms) / 1_000)
+
+    async def _probe(self, primary, is_used):
+        if self._detected != primary:
+            self._detected = primary
+            self.detector = FailureDetector(now_ms(), DETECTION)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._probe_primary, primary)
+            if is_used:
+                tasks.start_soon(self._prove, primary)
+
+    async def _probe_primary(self, primary):
+        control = self._node.control(primary)
+        if control is None:
+            return
+        sent_at_ms = now_ms()
+        try:
+            status = await control.status()
+        except UpstreamUnavailableError as error:
+            self.statuses.pop(primary, None)
+            before = self.detector.finding(now_ms()).verdict
+            finding = self.detector.observe(probe_outcome(error), now_ms())
+            if finding.verdict is not before:
+                self._node.log.believe(
+                    "primary_doubted",
+                    service=self.service,
+                    primary=primary,
+                    verdict=finding.verdict.value,
+                    reason=finding.reason,
+                    error=str(error),
+                )
+            return
+        self.detector.observe(ProbeOutcome.ANSWERED, now_ms())
+        self._take_status(primary, status, sent_at_ms)
+
+    def _take_status(self, primary, status, sent_at_ms):
+        self.statuses[primary] = status
+        if status.is_primary:
+            self.lead.sample(primary, status.received, sent_at_ms)
+
+    async def _prove(self, primary):
+        asked_at_ms = now_ms()
+        others = [
+            copy.instance
+            for copy in self._node.catalog.copies(self.service)
+            if copy.instance != primary
+        ]
+        statuses = {}
+        with anyio.move_on_after(STORE_PROOF_AFTER_MS / 1_000):
+            async with anyio.create_task_group() as tasks:
+                for instance in others:
+                    tasks.start_soon(self._ask, instance, statuses)
+        answers = [statuses.get(instance) for instance in others]
+        status = self.statuses.get(primary)
+        if self.primary == primary and copies_prove_lead(status, answers):
+            self._take_proof(primary, status.term, asked_at_ms)
+            return
+        proof = self.lead.proof
+        is_fresh = (
+            proof is not None
+            and proof.upstream == primary
+            and now_ms() - proof.asked_at_ms < STORE_PROOF_AFTER_MS
+        )
+        if not is_fresh:
+            await self._prove_by_store(primary)
+
+    async def _ask(self, instance, statuses):
+        control = self._node.control(instance)
+        if control is None:
+            return
+        try:
+            statuses[instance] = await control.status()
+        except UpstreamUnavailableError:
+            return
+
+    async def _prove_by_store(self, primary):
+        asked_at_ms = now_ms()
+        try:
+            state = await self._node.read_state(self.service)
+        except StoreUnavailableError as error:
+            self._node.log.decide(
+                "lead_unproven",
+                service=self.service,
+                primary=primary,
+                reason=str(error),
+            )
+            return
+        known = self.lead.proof
+        same_term = known.term if known and known.upstream == primary else 0
+        if state is None:
+            if self.primary == primary:
+                self._take_proof(primary, same_term, asked_at_ms)
+        elif state.phase is Phase.ACTIVE and state.primary == primary:
+            self._take_proof(primary, max(same_term, state.term), asked_at_ms)
+
+    def _take_proof(self, primary, term, asked_at_ms):
+        state = self._node.state(self.service)
+        if state is not None and state.phase is not Phase.ACTIVE:
+            return
+        self.lead.prove(primary, term, asked_at_ms)
+        self._proved.set()
+        self._proved = anyio.Event()
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
@@ -0,0 +1,96 @@
+"""Count and time what a fleet process does, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+# Statements take from one millisecond to their timeout of one or two seconds.
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+
+
+class FleetMetrics:
+    """Counters, gauges and histograms of one process."""
+
+    def __init__(self):
+        registry = CollectorRegistry(auto_describe=False)
+        self._registry = registry
+        self._statements = Histogram(
+            "bronzescale_statement_seconds",
+            "Time from a statement's arrival to its answer.",
+            ["outcome"],
+            buckets=BUCKETS_S,
+            registry=registry,
+        )
+        self._attempts = Counter(
+            "bronzescale_failed_attempts",
+            "Attempts that ended without success.",
+            ["outcome"],
+            registry=registry,
+        )
+        self._reads = Counter(
+            "bronzescale_served",
+            "Statements served, by kind and place.",
+            ["kind", "place"],
+            registry=registry,
+        )
+        self._connections = Counter(
+            "bronzescale_upstream_connections",
+            "Connections opened to databases.",
+            ["service"],
+            registry=registry,
+        )
+        self._calls = Counter(
+            "bronzescale_store_calls",
+            "Calls to the platform's store.",
+            ["method"],
+            registry=registry,
+        )
+        self._peer_bytes = Counter(
+            "bronzescale_peer_bytes",
+            "Bytes exchanged with other nodes.",
+            ["direction", "purpose"],
+            registry=registry,
+        )
+        self._callers = Gauge(
+            "bronzescale_callers", "Callers connected.", registry=registry
+        )
+        self._store = Gauge(
+            "bronzescale_store_reachable", "1 if the store answers.", registry=registry
+        )
+
+    def observe_statement(self, outcome, elapsed_ms):
+        """Record one statement."""
+        self._statements.labels(outcome).observe(elapsed_ms / 1_000)
+
+    def count_failure(self, outcome):
+        """Count an attempt that failed."""
+        self._attempts.labels(outcome).inc()
+
+    def count_read(self, is_write, is_replica, needs_lead):
+        """Count a served statement by kind and place."""
+        kind = "save" if is_write else "lead_read" if needs_lead else "read"
+        self._reads.labels(kind, "replica" if is_replica else "primary").inc()
+
+    def count_connection(self, service):
+        """Count a new connection to a database."""
+        self._connections.labels(service).inc()
+
+    def count_store_call(self, method):
+        """Count a call to the platform."""
+        self._calls.labels(method).inc()
+
+    def set_callers(self, count):
+        """Set how many callers are connected."""
+        self._callers.set(count)
+
+    def set_store_state(self, is_reachable):
+        """Set whether the store answers."""
+        self._store.set(1 if is_reachable else 0)
+
+    def frame(self, direction, message, size_bytes):
+        """Count one frame between nodes."""
+        purpose = type(message).__name__
+        self._peer_bytes.labels(direction, purpose).inc(size_bytes)
+
+    def render(self):
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -0,0 +1,385 @@
+"""Know the fleet, the configuration and the databases of one node."""
+
+import logging
+
+import anyio
+
+from bronzescale_core.catalog import Catalog
+from bronzescale_core.groups import Phase, dump_group, load_group
+from bronzescale_core.objects import StoreObject
+from bronzescale_core.rendezvous import rank_nodes
+from bronzescale_proxy import wire
+from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.fleet.control import CopyControl
+from bronzescale_proxy.fleet.lead import LeadKeeper
+from bronzescale_proxy.fleet.owner import CopyOwner
+
+logger = logging.getLogger("bronzescale.node")
+
+CONFIGURATION = "configuration"
+UPSTREAMS = "upstreams"
+HOSTS = "hosts"
+GROUPS = "groups"
+# Kinds that peers pass on; each node learns the hosts by itself.
+SHARED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS)
+MAIN = "main"
+# Nodes to try for one database: its zone's first two, then others.
+OWNERS_TO_TRY = 4
+SWEEP_S = 0.25
+# A node that is not first in rank gives its connections back after this rest.
+OWNER_REST_MS = 2_000
+
+
+class FleetNode:
+    """State of one node between its listeners and the databases.
+
+    Parameters
+    ----------
+    settings : FleetSettings
+        Settings of this node.
+    membership : Membership
+        Who is alive.
+    store : object
+        Client of the platform's store.
+    peers : PeerClient
+        Links to other nodes.
+    codec : LineCodec
+        The line protocol.
+    documents : module
+        Decodes configuration and entries.
+    metrics : FleetMetrics
+        Counters and histograms.
+    log : DecisionLog
+        Structured log.
+    """
+
+    def __init__(
+        self, settings, membership, store, peers, codec, documents, metrics, log
+    ):
+        self.settings = settings
+        self.membership = membership
+        self.store = store
+        self.peers = peers
+        self.codec = codec
+        self.documents = documents
+        self.metrics = metrics
+        self.log = log
+        self.catalog = Catalog()
+        self.configuration = None
+        self.is_stopping = False
+        self.objects = {}
+        self.tasks = None
+        self.changed = anyio.Event()
+        self._states = {}
+        self._keepers = {}
+        self._owners = {}
+        self._controls = {}
+        self.new_service_listeners = []
+
+    async def run(self):
+        """Run until cancelled."""
+        async with anyio.create_task_group() as self.tasks:
+            try:
+                for service in list(self._keepers):
+                    self._start_keeper(service)
+                while True:
+                    self.sweep()
+                    await anyio.sleep(SWEEP_S)
+            finally:
+                for owner in self._owners.values():
+                    owner.close()
+                for control in self._controls.values():
+                    control.close()
+
+    # Objects
+
+    def learn(self, item):
+        """Take an object, from the store or a peer.
+
+        Parameters
+        ----------
+        item : StoreObject
+            The object; without a value if it was deleted.
+
+        Returns
+        -------
+        bool
+            Whether it was newer than what was known.
+        """
+        key = (item.kind, item.name)
+        known = self.objects.get(key)
+        if known is not None and known.version >= item.version:
+            return False
+        self.objects[key] = item
+        self._apply(item)
+        return True
+
+    def learn_list(self, kind, items):
+        """Take all objects of a kind; what is missing was deleted."""
+        listed = {item.name for item in items}
+        for item in items:
+            self.learn(item)
+        for known_kind, name in list(self.objects):
+            if known_kind == kind and name not in listed:
+                known = self.objects[(kind, name)]
+                if known.value is not None:
+                    self.learn(known._replace(version=known.version + 1, value=None))
+        self.notify()
+
+    def known_revision(self):
+        """Return the newest revision among the objects that peers pass on."""
+        versions = (
+            item.version for item in self.objects.values() if item.kind in SHARED_KINDS
+        )
+        return max(versions, default=0)
+
+    def objects_since(self, revision):
+        """Return the objects that changed after a revision."""
+        return [
+            item
+            for item in self.objects.values()
+            if item.version > revision and item.kind in SHARED_KINDS
+        ]
+
+    def notify(self):
+        """Wake whoever waits for a change of what this node knows."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _apply(self, item):
+        if item.kind == CONFIGURATION and item.name == MAIN:
+            self._apply_configuration(item)
+        elif item.kind == UPSTREAMS:
+            self._apply_upstream(item)
+        elif item.kind == GROUPS:
+            self._apply_group(item)
+        self.notify()
+
+    def _apply_configuration(self, item):
+        if item.value is None:
+            return
+        try:
+            configuration = self.documents.decode_configuration(item.value)
+        except self.documents.UnreadableDocumentError as error:
+            self.log.believe("configuration_unreadable", reason=str(error))
+            return
+        known = self.configuration
+        if known is not None and known.version >= configuration.version:
+            return
+        self.configuration = configuration
+        self.log.believe(
+            "configuration_in_force",
+            version=configuration.version,
+            revision=item.version,
+            routes=len(configuration.routes),
+        )
+        for service in configuration.services:
+            self.keeper(service)
+
+    def _apply_upstream(self, item):
+        copy = None
+        if item.value is not None:
+            copy = self.documents.decode_copy(item.name, item.value)
+        known = self.catalog.find(item.name)
+        if copy is None:
+            if self.catalog.remove(item.name, now_ms()):
+                self.log.believe("upstream_gone", upstream=item.name)
+                self._forget(item.name)
+            return
+        if not self.catalog.put(copy):
+            return
+        self.log.believe(
+            "upstream_changed",
+            upstream=copy.instance,
+            service=copy.service,
+            is_leaving=copy.is_leaving,
+            is_primary=copy.is_primary,
+            revision=item.version,
+        )
+        is_reborn = known is not None and (
+            known.incarnation != copy.incarnation or known.address != copy.address
+        )
+        if is_reborn:
+            self._forget(copy.instance)
+        self.keeper(copy.service)
+
+    def _apply_group(self, item):
+        if item.value is None:
+            return
+        try:
+            state = load_group(item.value, item.version)
+        except (KeyError, TypeError, ValueError) as error:
+            self.log.believe("group_unreadable", name=item.name, reason=repr(error))
+            return
+        self._states[state.service] = state
+        keeper = self.keeper(state.service)
+        if state.phase is not Phase.ACTIVE:
+            keeper.lead.revoke()
+        self.log.believe(
+            "group_state",
+            service=state.service,
+            term=state.term,
+            primary=state.primary,
+            phase=state.phase.value,
+            writer=state.writer,
+            revision=item.version,
+            reason=state.reason,
+        )
+
+    # Services
+
+    def state(self, service):
+        """Return the agreed state of a service's group, or None."""
+        return self._states.get(service)
+
+    async def read_state(self, service):
+        """Return the agreed state as the store has it now, or None."""
+        item = await self.store.get(GROUPS, service)
+        if item is None:
+            return None
+        self.learn(item)
+        return load_group(item.value, item.version)
+
+    async def write_state(self, state):
+        """Write a group state if the store still has the version it follows.
+
+        Returns
+        -------
+        GroupState
+            With its new version.
+        """
+        item = await self.store.put(
+            GROUPS, state.service, dump_group(state), state.version
+        )
+        item = item._replace(value=dump_group(state))
+        self.learn(item)
+        self.push([item])
+        return state._replace(version=item.version)
+
+    def push(self, items):
+        """Send objects to the other live nodes without waiting."""
+        message = wire.Objects(-1, -1, items)
+        for node in self.membership.live():
+            if node.name != self.settings.node and self.tasks is not None:
+                self.tasks.start_soon(self.peers.tell, node, message)
+
+    def keeper(self, service):
+        """Return the keeper of a service's lead."""
+        keeper = self._keepers.get(service)
+        if keeper is None:
+            keeper = LeadKeeper(self, service)
+            self._keepers[service] = keeper
+            if self.tasks is not None:
+                self._start_keeper(service)
+        return keeper
+
+    def keepers(self):
+        """Return all keepers."""
+        return list(self._keepers.values())
+
+    def _start_keeper(self, service):
+        self.tasks.start_soon(self._keepers[service].run)
+        for listener in self.new_service_listeners:
+            listener(service)
+
+    def watches(self, service):
+        """Return whether this node is first in rank for a copy of a service."""
+        return any(
+            self.is_first(copy.instance) for copy in self.catalog.copies(service)
+        )
+
+    def watch_rank(self, service):
+        """Return this node's place among the watchers of a service, from 0."""
+        watchers = self.watchers(service)
+        names = [node.name for node in watchers]
+        own = self.settings.node
+        return names.index(own) if own in names else len(names)
+
+    def watchers(self, service):
+        """Return the nodes that are first in rank for the copies of a service."""
+        found = {}
+        copies = self.catalog.copies(service)
+        for copy in sorted(copies, key=lambda each: each.instance):
+            ranked = self.rank(copy.instance)
+            if ranked:
+                found.setdefault(ranked[0].name, ranked[0])
+        return list(found.values())
+
+    # Databases
+
+    def rank(self, instance):
+        """Return the nodes that may own a database, best first."""
+        copy = self.catalog.find(instance)
+        if copy is None:
+            return []
+        region = self.settings.regions.get(copy.zone, "")
+        return rank_nodes(
+            instance, self.membership.eligible(), copy.zone, region, OWNERS_TO_TRY
+        )
+
+    def is_first(self, instance):
+        """Return whether this node is first in rank for a database."""
+        ranked = self.rank(instance)
+        return bool(ranked) and ranked[0].name == self.settings.node
+
+    def owners_of(self, instance):
+        """Return the nodes to try for a database; None stands for this node."""
+        own = self.settings.node
+        return [None if node.name == own else node for node in self.rank(instance)]
+
+    def owner(self, instance):
+        """Return this node's owner of a database, made when first asked for."""
+        owner = self._owners.get(instance)
+        if owner is None:
+            copy = self.catalog.find(instance)
+            if copy is None:
+                return None
+            owner = CopyOwner(copy, self.keeper(copy.service), self)
+            self._owners[instance] = owner
+        return owner
+
+    def owners(self):
+        """Return the databases that this node serves."""
+        return list(self._owners.values())
+
+    def control(self, instance):
+        """Return the link for orders to a database, or None if it is unknown."""
+        control = self._controls.get(instance)
+        if control is None:
+            copy = self.catalog.find(instance)
+            if copy is None:
+                return None
+            control = CopyControl(copy, self.codec)
+            self._controls[instance] = control
+        return control
+
+    def _forget(self, instance):
+        owner = self._owners.pop(instance, None)
+        if owner is not None:
+            owner.close()
+        control = self._controls.pop(instance, None)
+        if control is not None:
+            control.close()
+
+    # Upkeep
+
+    def sweep(self):
+        """Drop what is no longer needed."""
+        for instance in self.catalog.sweep(now_ms()):
+            self.log.believe("upstream_gone", upstream=instance, reason="lapsed")
+            self._forget(instance)
+            self.notify()
+        configuration = self.configuration
+        idle_ms = configuration.transaction_idle_ms if configuration else 3_000
+        for owner in list(self._owners.values()):
+            for number in owner.resting_transactions(idle_ms):
+                self.log.decide("transaction_dropped", transaction=number)
+                self.tasks.start_soon(owner.roll_back, number)
+            is_resting = owner.is_idle and now_ms() - owner.used_at_ms > OWNER_REST_MS
+            if is_resting and not self.is_first(owner.copy.instance):
+                self._owners.pop(owner.copy.instance, None)
+                owner.close()
+
+    def tombstone(self, kind, name, version):
+        """Return the record of a deleted object."""
+        return StoreObject(kind, name, version, None)
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -0,0 +1,439 @@
+"""Own a database: admit statements to its slots and run them on its connections."""
+
+import anyio
+
+from bronzescale_core.admission import (
+    AdmissionQueue,
+    Admitted,
+    Refused,
+    WorkClass,
+)
+from bronzescale_core.codec import IDLE
+from bronzescale_core.leadership import floor_for
+from bronzescale_core.positions import ORIGIN
+from bronzescale_core.work import (
+    NO_AGE_LIMIT,
+    NO_TRANSACTION,
+    NOT_RUN_OUTCOMES,
+    Outcome,
+    Reach,
+    WorkAnswer,
+    WorkStep,
+)
+from bronzescale_proxy.exceptions import UpstreamUnavailableError
+from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.fleet.pool import LinkPool
+
+# Statements that may wait for the slots of one database.
+MAX_QUEUED = 200
+# A commit's answer waits this long for the proof that no other primary leads.
+COMMIT_PROOF_MS = 700
+# Time left to tell the caller that a statement was not run for want of a proof.
+PROOF_MARGIN_MS = 20
+# A resting transaction outlives the caller's own limit by this much at the owner.
+IDLE_SLACK_MS = 1_000
+# When to come back after a failure that a change of primary will end.
+RETRY_AFTER_FAILURE_MS = 300
+
+
+class _Transaction:
+    """An open transaction and the connection that holds it."""
+
+    def __init__(self, number, link, opener, is_read_only):
+        self.number = number
+        self.link = link
+        self.opener = opener
+        self.is_read_only = is_read_only
+        self.has_written = False
+        self.lock = anyio.Lock()
+        self.used_at_ms = now_ms()
+
+
+class CopyOwner:
+    """One database at the node that owns its connections.
+
+    Parameters
+    ----------
+    copy : Copy
+        The database.
+    keeper : LeadKeeper
+        Knows who leads.
+    node : FleetNode
+        What this node knows.
+    """
+
+    def __init__(self, copy, keeper, node):
+        self.copy = copy
+        self._keeper = keeper
+        self._node = node
+        self._codec = node.codec
+        self._pool = LinkPool(copy, node.codec, node.metrics)
+        self._queue = AdmissionQueue(copy.slots, MAX_QUEUED)
+        self._waiting = {}
+        self._transactions = {}
+        self._next_number = 1
+        self.used_at_ms = now_ms()
+
+    @property
+    def load(self):
+        """Return running and waiting statements per slot."""
+        return (self._queue.queued + self._queue.running) / max(1, self.copy.slots)
+
+    @property
+    def is_idle(self):
+        """Return whether nothing runs, waits or stays open."""
+        return not (self._queue.queued or self._queue.running or self._transactions)
+
+    def close(self):
+        """Close every connection; what is open rolls back."""
+        for transaction in list(self._transactions.values()):
+            self._end(transaction)
+        self._pool.close()
+
+    async def execute(self, work, opener):
+        """Run a statement.
+
+        Parameters
+        ----------
+        work : Work
+            The statement.
+        opener : object
+            Who asks; a transaction ends with it.
+
+        Returns
+        -------
+        WorkAnswer
+        """
+        self.used_at_ms = now_ms()
+        if work.step in (WorkStep.CONTINUE, WorkStep.COMMIT) and work.transaction_id:
+            answer = await self._run_in_transaction(work)
+        else:
+            answer = await self._run_admitted(work, opener)
+        return answer._replace(load=round(self.load, 2))
+
+    # Transactions
+
+    async def _run_in_transaction(self, work):
+        transaction = self._transactions.get(work.transaction_id)
+        if transaction is None:
+            return _not_sent("the transaction has been rolled back")
+        async with transaction.lock:
+            if transaction.number not in self._transactions:
+                return _not_sent("the transaction has been rolled back")
+            transaction.used_at_ms = now_ms()
+            transaction.has_written |= work.is_write
+            ticket = self._queue.admit_at_once(work.deadline_ms).ticket
+            started_ms = now_ms()
+            try:
+                answer = await self._run_step(work, transaction)
+            finally:
+                self._finish(ticket, now_ms() - started_ms)
+                if transaction.number in self._transactions:
+                    transaction.used_at_ms = now_ms()
+        return answer
+
+    async def _run_step(self, work, transaction):
+        is_commit = work.step is WorkStep.COMMIT
+        if is_commit and transaction.has_written:
+            until_ms = work.deadline_ms - PROOF_MARGIN_MS
+            if not await self._keeper.require(self.copy.instance, until_ms):
+                transaction.link.is_usable = False
+                self._end(transaction)
+                return _not_sent(f"{self.copy.instance} may have been replaced")
+        try:
+            answer = await self._run_on(transaction.link, work)
+        except BaseException:
+            self._end(transaction)
+            raise
+        is_over = is_commit or answer.outcome is not Outcome.DONE
+        if is_over:
+            if answer.outcome is not Outcome.DONE:
+                transaction.link.is_usable = False
+            self._end(transaction)
+        if is_commit and transaction.has_written:
+            answer = await self._confirm(work, answer)
+        return answer._replace(
+            transaction_id=NO_TRANSACTION if is_over else transaction.number
+        )
+
+    def _end(self, transaction):
+        """Give up a transaction; an open one is rolled back by the close."""
+        if self._transactions.pop(transaction.number, None) is None:
+            return
+        self._pool.give_back(transaction.link)
+
+    async def roll_back(self, number):
+        """Roll back a transaction whose caller ended it or is gone."""
+        transaction = self._transactions.get(number)
+        if transaction is None:
+            return
+        with anyio.move_on_after(1.0):
+            async with transaction.lock:
+                await self._roll_back_now(transaction)
+        self._end(transaction)
+
+    async def _roll_back_now(self, transaction):
+        link = transaction.link
+        if not link.is_usable or transaction.number not in self._transactions:
+            return
+        try:
+            (reply,) = await link.run_own([self._codec.rollback])
+        except UpstreamUnavailableError:
+            return
+        link.is_usable = reply.is_done and reply.state == IDLE
+
+    def transactions_of(self, opener):
+        """Return the numbers of an opener's open transactions."""
+        return [t.number for t in self._transactions.values() if t.opener is opener]
+
+    def resting_transactions(self, idle_ms):
+        """Return the numbers of transactions that rest for too long."""
+        limit_ms = now_ms() - idle_ms - IDLE_SLACK_MS
+        return [
+            t.number
+            for t in self._transactions.values()
+            if t.used_at_ms < limit_ms and not t.lock.locked()
+        ]
+
+    # Admission
+
+    async def _run_admitted(self, work, opener):
+        is_save = work.is_write or work.needs_lead
+        work_class = WorkClass.SAVE if is_save else WorkClass.READ
+        decision = self._queue.offer(work_class, work.deadline_ms, now_ms())
+        if isinstance(decision, Refused):
+            return _refused(decision)
+        ticket = decision.ticket
+        if not isinstance(decision, Admitted):
+            refused = await self._wait_for_slot(ticket)
+            if refused is not None:
+                return refused
+        started_ms = now_ms()
+        try:
+            return await self._run_on_pool(work, opener)
+        finally:
+            self._finish(ticket, now_ms() - started_ms)
+
+    async def _wait_for_slot(self, ticket):
+        event = anyio.Event()
+        self._waiting[ticket.ticket_id] = event
+        decided = {}
+        self._waiting[ticket.ticket_id] = (event, decided)
+        is_decided = False
+        try:
+            with anyio.move_on_after(max(0, ticket.deadline_ms - now_ms()) / 1_000):
+                await event.wait()
+                is_decided = True
+        finally:
+            self._waiting.pop(ticket.ticket_id, None)
+            has_slot = isinstance(decided.get("decision"), Admitted)
+            if not is_decided and not self._queue.withdraw(ticket) and has_slot:
+                # The slot was granted in the moment of giving up.
+                self._finish(ticket, None)
+        decision = decided.get("decision")
+        if is_decided and isinstance(decision, Admitted):
+            return None
+        if isinstance(decision, Refused):
+            return _refused(decision)
+        return WorkAnswer(
+            Outcome.BUSY,
+            Reach.NOT_SENT,
+            "no slot became free in time",
+            retry_after_ms=RETRY_AFTER_FAILURE_MS,
+        )
+
+    def _finish(self, ticket, held_ms):
+        for decision in self._queue.finish(ticket, held_ms, now_ms()):
+            waiting = self._waiting.get(decision.ticket.ticket_id)
+            if waiting is None:
+                if isinstance(decision, Admitted):
+                    self._finish(decision.ticket, None)
+                continue
+            event, decided = waiting
+            decided["decision"] = decision
+            event.set()
+
+    # Running
+
+    async def _run_on_pool(self, work, opener):
+        floor = await self._floor(work)
+        if floor is None:
+            return WorkAnswer(
+                Outcome.BEHIND, Reach.NOT_SENT, "no recent head of the primary is known"
+            )
+        if not await self._may_lead(work):
+            reason = f"{self.copy.instance} is not proven to lead"
+            return _not_sent(reason, Outcome.BUSY, is_unreachable=True)
+        link = None
+        try:
+            with anyio.fail_after(max(0.001, (work.deadline_ms - now_ms()) / 1_000)):
+                link = await self._take_link(work)
+        except UpstreamUnavailableError as error:
+            outcome = getattr(error, "outcome", Outcome.BUSY)
+            is_gone = outcome in (Outcome.BUSY, Outcome.WRONG_INSTANCE)
+            return _not_sent(str(error), Outcome.BUSY, is_unreachable=is_gone)
+        except TimeoutError:
+            return _not_sent("no connection became free in time", Outcome.BUSY)
+        if work.step is WorkStep.SINGLE:
+            try:
+                answer = await self._run_on(link, work, floor)
+            finally:
+                self._pool.give_back(link)
+            return await self._confirm(work, answer) if work.is_write else answer
+        return await self._open_transaction(link, work, floor, opener)
+
+    async def _take_link(self, work):
+        """Return a connection that holds the session's state.
+
+        One that broke while it rested is replaced once.
+        """
+        for is_last in (False, True):
+            link = await self._pool.take(work.values, work.prepared_name)
+            try:
+                await link.hold_state(work.values, work.prepared_name, work.prepared)
+                return link
+            except UpstreamUnavailableError:
+                self._pool.give_back(link)
+                if is_last:
+                    raise
+                self._pool.close_idle()
+            except BaseException:
+                self._pool.give_back(link)
+                raise
+        raise AssertionError("unreachable")
+
+    async def _open_transaction(self, link, work, floor, opener):
+        transaction = _Transaction(self._next_number, link, opener, work.is_read_only)
+        self._next_number += 1
+        self._transactions[transaction.number] = transaction
+        async with transaction.lock:
+            try:
+                answer = await self._begin(link, work, floor)
+                if answer is None:
+                    transaction.has_written = work.is_write
+                    answer = await self._run_on(link, work)
+            except BaseException:
+                link.is_usable = False
+                self._end(transaction)
+                raise
+        if answer.outcome is not Outcome.DONE:
+            link.is_usable = False
+            self._end(transaction)
+            return answer
+        if work.step is WorkStep.OPEN_AND_COMMIT:
+            self._end(transaction)
+            return answer
+        transaction.used_at_ms = now_ms()
+        return answer._replace(transaction_id=transaction.number)
+
+    async def _begin(self, link, work, floor):
+        """Open a transaction on a connection; return why that failed, or None."""
+        text = self._codec.begin(work.is_read_only, floor)
+        try:
+            with anyio.fail_after(max(0.001, (work.deadline_ms - now_ms()) / 1_000)):
+                (reply,) = await link.run_own([text])
+        except UpstreamUnavailableError as error:
+            return _not_sent(str(error), Outcome.BUSY, is_unreachable=True)
+        except TimeoutError:
+            return _not_sent("the database did not answer in time", Outcome.TIMEOUT)
+        if reply.is_done:
+            return None
+        return WorkAnswer(reply.outcome, Reach.REFUSED, reply.reason)
+
+    async def _run_on(self, link, work, floor=ORIGIN):
+        """Run the caller's own statement on a connection."""
+        text = work.text
+        if not work.is_write and work.step is WorkStep.SINGLE:
+            text = self._codec.after(floor, text)
+        if work.prepared is not None and work.step is WorkStep.CONTINUE:
+            try:
+                await link.hold_state(work.values, work.prepared_name, work.prepared)
+            except UpstreamUnavailableError as error:
+                return _not_sent(str(error), Outcome.ABORTED)
+        sent_at_ms = now_ms()
+        try:
+            with anyio.fail_after(max(0.001, (work.deadline_ms - sent_at_ms) / 1_000)):
+                reply = await link.run(work.request_id, text)
+        except UpstreamUnavailableError as error:
+            return WorkAnswer(
+                Outcome.UNKNOWN, Reach.SENT, str(error), is_unreachable=True
+            )
+        except TimeoutError:
+            link.is_usable = False
+            return WorkAnswer(
+                Outcome.TIMEOUT, Reach.SENT, "the database did not answer in time"
+            )
+        return self._answer(work, reply, sent_at_ms)
+
+    def _answer(self, work, reply, sent_at_ms):
+        if self.copy.instance == self._keeper.primary and reply.is_done:
+            self._keeper.lead.sample(self.copy.instance, reply.position, sent_at_ms)
+        if reply.outcome in NOT_RUN_OUTCOMES:
+            return WorkAnswer(
+                reply.outcome,
+                Reach.REFUSED,
+                reply.reason,
+                retry_after_ms=int(self._queue.service_time_ms),
+            )
+        return WorkAnswer(
+            reply.outcome,
+            Reach.ANSWERED,
+            reply.reason,
+            reply.rows,
+            reply.receipt,
+            reply.position,
+        )
+
+    # Consistency
+
+    async def _floor(self, work):
+        """Return the position that a read must see here, or None if unknown."""
+        if work.is_write or work.needs_lead:
+            return ORIGIN
+        if self._is_proven_primary():
+            return ORIGIN
+        if work.max_age_ms == NO_AGE_LIMIT:
+            return work.floor
+        head = await self._keeper.head_since(work.received_at_ms - work.max_age_ms)
+        return None if head is None else floor_for(work.floor, head.position)
+
+    def _is_proven_primary(self):
+        return self._keeper.lead.is_proven(self.copy.instance, now_ms())
+
+    async def _may_lead(self, work):
+        if not (work.needs_lead or work.is_write):
+            return True
+        until_ms = work.deadline_ms - PROOF_MARGIN_MS
+        return await self._keeper.require(self.copy.instance, until_ms)
+
+    async def _confirm(self, work, answer):
+        """Return a save's success only while no other primary can lead."""
+        if answer.outcome is not Outcome.DONE:
+            return answer
+        until_ms = now_ms() + COMMIT_PROOF_MS
+        if await self._keeper.require(self.copy.instance, until_ms):
+            return answer
+        return WorkAnswer(
+            Outcome.UNKNOWN,
+            Reach.SENT,
+            f"{self.copy.instance} may have been replaced while it committed",
+        )
+
+
+def _refused(decision):
+    return WorkAnswer(
+        Outcome.BUSY,
+        Reach.NOT_SENT,
+        decision.reason,
+        retry_after_ms=decision.retry_after_ms,
+    )
+
+
+def _not_sent(reason, outcome=Outcome.ABORTED, is_unreachable=False):
+    return WorkAnswer(
+        outcome,
+        Reach.NOT_SENT,
+        reason,
+        retry_after_ms=RETRY_AFTER_FAILURE_MS,
+        is_unreachable=is_unreachable,
+    )
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
@@ -0,0 +1,99 @@
+"""Share a database's connections between sessions."""
+
+from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.fleet.upstream import open_link
+
+# Databases close connections that rest for a minute; drop them somewhat earlier.
+IDLE_CLOSE_MS = 45_000
+# One statement a second keeps an owner's link from looking silent.
+SPARE_SHARE = 0.8
+
+
+class LinkPool:
+    """Idle and lent connections to one database.
+
+    Parameters
+    ----------
+    copy : Copy
+        The database.
+    codec : LineCodec
+        The line protocol.
+    metrics : FleetMetrics
+        Counts new connections.
+    """
+
+    def __init__(self, copy, codec, metrics):
+        self._copy = copy
+        self._codec = codec
+        self._metrics = metrics
+        self._idle = []
+        self.lent = 0
+        self._is_closed = False
+
+    @property
+    def size(self):
+        """Return how many connections are open or being opened."""
+        return len(self._idle) + self.lent
+
+    async def take(self, values, name):
+        """Lend a connection, the one whose state fits best.
+
+        Parameters
+        ----------
+        values : tuple of (str, str)
+            Session values that the statement needs.
+        name : str
+            Prepared statement that it needs.
+
+        Returns
+        -------
+        UpstreamLink
+        """
+        self._discard_old()
+        if self._idle:
+            best = max(
+                self._idle,
+                key=lambda link: (
+                    link.values == values,
+                    not link.values,
+                    not name or name in link.prepared,
+                    link.used_at_ms,
+                ),
+            )
+            self._idle.remove(best)
+            self.lent += 1
+            return best
+        self.lent += 1
+        try:
+            link = await open_link(self._copy, self._codec)
+        except BaseException:
+            self.lent -= 1
+            raise
+        self._metrics.count_connection(self._copy.service)
+        return link
+
+    def give_back(self, link):
+        """Take a connection back; one in an unknown state is closed."""
+        self.lent -= 1
+        if link.is_usable and not self._is_closed:
+            self._idle.append(link)
+        else:
+            link.close()
+
+    def close_idle(self):
+        """Close the connections that nobody uses."""
+        idle, self._idle = self._idle, []
+        for link in idle:
+            link.close()
+
+    def close(self):
+        """Close idle connections now and the others when they come back."""
+        self._is_closed = True
+        self.close_idle()
+
+    def _discard_old(self):
+        limit_ms = now_ms() - IDLE_CLOSE_MS
+        old = [link for link in self._idle if link.used_at_ms < limit_ms]
+        for link in old:
+            self._idle.remove(link)
+            link.close()
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -0,0 +1,294 @@
+"""Learn objects from the store and from peers, and know which nodes live."""
+
+import anyio
+
+from bronzescale_core.membership import (
+    HEARTBEAT_INTERVAL_MS,
+    HEARTBEAT_TIMEOUT_MS,
+    Rumor,
+)
+from bronzescale_core.rendezvous import Node
+from bronzescale_proxy import wire
+from bronzescale_proxy.exceptions import (
+    HistoryGoneError,
+    PeerUnavailableError,
+    StoreConflictError,
+    StoreError,
+)
+from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.fleet.node import (
+    CONFIGURATION,
+    GROUPS,
+    HOSTS,
+    SHARED_KINDS,
+    UPSTREAMS,
+)
+
+WATCHED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
+# The platform lets a watch wait this long; waiting longer costs fewer calls.
+WATCH_WAIT_MS = 20_000
+RETRY_MIN_S = 0.15
+# An outage must be noticed to have ended soon enough for a configuration.
+RETRY_MAX_S = 0.8
+PULL_TIMEOUT_S = 1.0
+
+
+class Spreader:
+    """Keep one node's objects and membership up to date.
+
+    Parameters
+    ----------
+    node : FleetNode
+        What this node knows.
+    random : random.Random
+        Spreads retries.
+    """
+
+    def __init__(self, node, random):
+        self._node = node
+        self._random = random
+        self._failing = set()
+        self._listed = set()
+        self.has_peer_word = False
+
+    @property
+    def is_informed(self):
+        """Return whether the store or a peer has told everything that is needed."""
+        needed = (CONFIGURATION, UPSTREAMS, GROUPS)
+        return self.has_peer_word or all(kind in self._listed for kind in needed)
+
+    async def run(self):
+        """Run until cancelled."""
+        self._learn_seeds()
+        self._node.membership.introduce()
+        async with anyio.create_task_group() as tasks:
+            for kind in WATCHED_KINDS:
+                tasks.start_soon(self._follow, kind)
+            tasks.start_soon(self._send_heartbeats)
+
+    # Store
+
+    async def _follow(self, kind):
+        """List a kind, then watch it; start over when the history is gone."""
+        retry_s = RETRY_MIN_S
+        revision = None
+        while True:
+            try:
+                if revision is None:
+                    revision = await self._list(kind)
+                else:
+                    revision = await self._watch(kind, revision)
+                self._note_answer(kind)
+                retry_s = RETRY_MIN_S
+            except HistoryGoneError as error:
+                self._node.log.believe("history_gone", kind=kind, reason=str(error))
+                revision = None
+            except StoreError as error:
+                self._note_failure(kind, error)
+                await anyio.sleep(retry_s * self._random.uniform(0.7, 1.3))
+                retry_s = min(RETRY_MAX_S, retry_s * 2)
+
+    async def _list(self, kind):
+        listing = await self._node.store.list(kind)
+        if kind in self._failing:
+            self._node.catalog.note_outage(now_ms())
+        self._node.learn_list(kind, listing.objects)
+        if kind == HOSTS:
+            await self._take_hosts()
+        self._listed.add(kind)
+        return listing.revision
+
+    async def _watch(self, kind, revision):
+        changes = await self._node.store.watch(kind, revision, WATCH_WAIT_MS)
+        if kind in self._failing:
+            self._node.catalog.note_outage(now_ms())
+        for item in changes.objects:
+            self._node.learn(item)
+        if kind == HOSTS and changes.objects:
+            await self._take_hosts()
+        return changes.revision
+
+    def _note_answer(self, kind):
+        if kind in self._failing:
+            self._failing.discard(kind)
+            self._node.log.believe("store_answers_again", kind=kind)
+        self._node.metrics.set_store_state(not self._failing)
+
+    def _note_failure(self, kind, error):
+        if kind not in self._failing:
+            self._failing.add(kind)
+            self._node.log.believe("store_lost", kind=kind, reason=str(error))
+        self._node.catalog.note_outage(now_ms())
+        self._node.metrics.set_store_state(False)
+
+    async def _take_hosts(self):
+        own = self._node.membership.own
+        nodes = []
+        own_value = None
+        for (kind, name), item in self._node.objects.items():
+            if kind != HOSTS or item.value is None:
+                continue
+            if name == own.name:
+                own_value = item
+            else:
+                nodes.append(_load_host(name, item.value))
+        self._node.membership.take_list([n for n in nodes if n is not None], set())
+        if own_value is None or own_value.value != _dump_host(own):
+            await self._register(own, own_value)
+
+    async def _register(self, own, known):
+        revision = known.version if known is not None else 0
+        try:
+            item = await self._node.store.put(
+                HOSTS, own.name, _dump_host(own), revision
+            )
+            self._node.learn(item)
+        except StoreConflictError:
+            # The answer to an earlier write was lost; the watch will show it.
+            return
+
+    # Peers
+
+    def _learn_seeds(self):
+        """Take the seeds as nodes until their real names are known."""
+        own = self._node.membership.own
+        self._seeds = [s for s in self._node.settings.seeds if s != own.address]
+
+    async def _send_heartbeats(self):
+        async with anyio.create_task_group() as tasks:
+            while True:
+                targets = self._node.membership.heartbeat_targets()
+                for target in targets:
+                    tasks.start_soon(self._send_heartbeat, target)
+                if not targets or not self.is_informed:
+                    for address in self._seeds:
+                        tasks.start_soon(self._greet_seed, address)
+                jitter = self._random.uniform(0.9, 1.1)
+                is_lonely = not self.is_informed
+                pause_ms = HEARTBEAT_INTERVAL_MS // (3 if is_lonely else 1)
+                await anyio.sleep(pause_ms / 1_000 * jitter)
+
+    async def _greet_seed(self, address):
+        """Ask whoever answers at a seed's address for all it knows."""
+        name = next(
+            (
+                node.name
+                for node in self._node.membership.live()
+                if node.address == address
+            ),
+            "",
+        )
+        node = Node(name, address, "", "")
+        try:
+            timeout_s = HEARTBEAT_TIMEOUT_MS / 1_000
+            heartbeat = self._heartbeat(is_introduction=True)
+            reply = await self._node.peers.ask(node, heartbeat, timeout_s)
+            if isinstance(reply, wire.Heartbeat):
+                await self.hear(reply)
+            if not self.is_informed:
+                await self._pull(node)
+        except PeerUnavailableError:
+            return
+
+    async def _send_heartbeat(self, target):
+        timeout_s = HEARTBEAT_TIMEOUT_MS / 1_000
+        try:
+            reply = await self._node.peers.ask(target, self._heartbeat(), timeout_s)
+        except PeerUnavailableError as error:
+            self._node.peers.discard(target)
+            if self._node.membership.missed(target.name):
+                self._node.log.believe("peer_down", peer=target.name, reason=str(error))
+            return
+        if isinstance(reply, wire.Heartbeat):
+            await self.hear(reply)
+
+    def _heartbeat(self, is_introduction=False):
+        membership = self._node.membership
+        status = membership.standings()[0].status
+        own = membership.own
+        rumors = membership.outgoing_rumors()
+        if is_introduction and all(rumor.node.name != own.name for rumor in rumors):
+            rumors.append(Rumor(own, status))
+        return wire.Heartbeat(
+            own.name,
+            own.incarnation,
+            status,
+            self._node.known_revision(),
+            rumors,
+        )
+
+    async def answer_heartbeat(self, heartbeat, channel):
+        """Answer a heartbeat and learn from it."""
+        is_new = self._node.membership.find(heartbeat.node) is None
+        await channel.send(self._heartbeat(is_introduction=is_new))
+        await self.hear(heartbeat)
+
+    async def hear(self, heartbeat):
+        """Learn from a heartbeat or its answer."""
+        membership = self._node.membership
+        membership.heard(
+            heartbeat.node, heartbeat.incarnation, heartbeat.status, heartbeat.rumors
+        )
+        sender = membership.find(heartbeat.node)
+        is_behind = heartbeat.revision > self._node.known_revision()
+        if sender is not None and (is_behind or not self.is_informed):
+            try:
+                await self._pull(sender)
+            except PeerUnavailableError:
+                return
+
+    async def _pull(self, peer):
+        since = 0 if not self.is_informed else self._oldest_revision()
+        reply = await self._node.peers.ask(
+            peer, wire.ObjectsRequest(since), PULL_TIMEOUT_S
+        )
+        if isinstance(reply, wire.Objects):
+            self.take_objects(reply)
+
+    def _oldest_revision(self):
+        """Return the lowest of the newest revisions of each kind."""
+        newest = dict.fromkeys(SHARED_KINDS, 0)
+        for item in self._node.objects.values():
+            if item.kind in newest:
+                newest[item.kind] = max(newest[item.kind], item.version)
+        return min(newest[CONFIGURATION], newest[UPSTREAMS])
+
+    def take_objects(self, message):
+        """Take objects from a peer."""
+        for item in message.objects:
+            self._node.learn(item)
+        if message.since == 0 and message.revision > 0:
+            self.has_peer_word = True
+
+    def answer_objects(self, request):
+        """Return the objects that a peer asks for."""
+        if not self.is_informed:
+            return wire.Objects(request.since, 0, [])
+        found = self._node.objects_since(request.since)
+        return wire.Objects(request.since, self._node.known_revision(), found)
+
+    async def announce_leaving(self):
+        """Tell every live node that this one takes no new ownership."""
+        self._node.membership.leave()
+        heartbeat = self._heartbeat()
+        async with anyio.create_task_group() as tasks:
+            for node in self._node.membership.live():
+                if node.name != self._node.settings.node:
+                    tasks.start_soon(self._tell_leaving, node, heartbeat)
+
+    async def _tell_leaving(self, node, heartbeat):
+        try:
+            await self._node.peers.ask(node, heartbeat, HEARTBEAT_TIMEOUT_MS / 1_000)
+        except PeerUnavailableError:
+            return
+
+
+def _dump_host(node):
+    return {"address": node.address, "zone": node.zone, "region": node.region}
+
+
+def _load_host(name, value):
+    try:
+        return Node(name, value["address"], value["zone"], value["region"])
+    except (KeyError, TypeError):
+        return None
--- /dev/null
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
@@ -0,0 +1,295 @@
+"""Run statements on one connection to a database and know the state it holds."""
+
+import errno
+from typing import NamedTuple
+
+import anyio
+
+from bronzescale_core.codec import IDLE, Done, Failed, Ready, Row
+from bronzescale_core.positions import ORIGIN, Position
+from bronzescale_core.work import Outcome
+from bronzescale_proxy.exceptions import UpstreamUnavailableError
+from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.fleet.streams import (
+    LineReader,
+    LineTooLongError,
+    connect_stream,
+)
+
+# A new connection takes the database some 12 ms; this leaves room for a slow one.
+OPEN_TIMEOUT_S = 1.0
+_BROKEN = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    LineTooLongError,
+)
+
+
+class Reply(NamedTuple):
+    """A database's answer to one statement.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        How it ended.
+    reason : str
+        Text of an error.
+    rows : tuple of str
+        Rows.
+    receipt : str
+        Proof that the database ran it.
+    state : str
+        Where the connection stands.
+    position : Position
+        What the log held.
+    """
+
+    outcome: Outcome
+    reason: str = ""
+    rows: tuple = ()
+    receipt: str = ""
+    state: str = IDLE
+    position: Position = ORIGIN
+
+    @property
+    def is_done(self):
+        """Return whether the statement succeeded."""
+        return self.outcome is Outcome.DONE
+
+
+class UpstreamLink:
+    """One connection to a database.
+
+    Parameters
+    ----------
+    stream : anyio.abc.ByteStream
+        The open stream.
+    codec : LineCodec
+        The line protocol.
+    """
+
+    def __init__(self, stream, codec):
+        self._stream = stream
+        self._codec = codec
+        self._reader = LineReader(stream, codec.terminator, codec.max_line_bytes)
+        self.values = ()
+        self.prepared = {}
+        self.is_usable = True
+        self.is_closed = False
+        self.used_at_ms = now_ms()
+
+    async def run(self, request_id, text):
+        """Run a caller's statement.
+
+        Returns
+        -------
+        Reply
+
+        Raises
+        ------
+        UpstreamUnavailableError
+            If the connection broke; the statement may have run.
+        """
+        (reply,) = await self._exchange(
+            self._codec.statement(request_id, text), count=1
+        )
+        return reply
+
+    async def run_own(self, texts):
+        """Run statements of the proxy's own, sent together.
+
+        Returns
+        -------
+        list of Reply
+        """
+        message = b"".join(self._codec.own(text) for text in texts)
+        return await self._exchange(message, count=len(texts))
+
+    async def hold_state(self, values, name, shape):
+        """Bring session values and a prepared statement into force.
+
+        Parameters
+        ----------
+        values : tuple of (str, str)
+            Values that must hold, and no others.
+        name : str
+            Name of a prepared statement; empty for none.
+        shape : Shape or None
+            What the name must stand for.
+
+        Raises
+        ------
+        UpstreamUnavailableError
+            If the database did not confirm; nothing of the caller was sent.
+        """
+        texts = self._state_texts(values, name, shape)
+        if not texts:
+            return
+        replies = await self.run_own(texts)
+        if not all(reply.is_done for reply in replies):
+            self.is_usable = False
+            raise UpstreamUnavailableError(
+                "the database did not take the session's values", is_sent=False
+            )
+        self.values = values
+        if shape is not None:
+            self.prepared[name] = shape
+
+    def _state_texts(self, values, name, shape):
+        codec = self._codec
+        texts = []
+        if self.values != values:
+            held = dict(self.values)
+            wanted = dict(values)
+            if any(each not in wanted for each in held):
+                texts.append(codec.reset)
+                held.clear()
+                self.prepared.clear()
+            texts += [
+                codec.set_value(each, value)
+                for each, value in values
+                if held.get(each) != value
+            ]
+        if shape is not None and name not in self.prepared:
+            texts.append(codec.prepare(name, shape))
+        return texts
+
+    async def _exchange(self, message, count):
+        self.is_usable = False
+        try:
+            await self._stream.send(message)
+            replies = [await self._read_reply() for _ in range(count)]
+        except _BROKEN as error:
+            raise UpstreamUnavailableError(
+                f"the connection broke: {type(error).__name__}"
+            ) from error
+        self.is_usable = not self._reader.has_partial_line
+        self.used_at_ms = now_ms()
+        return replies
+
+    async def _read_reply(self):
+        rows = []
+        ended = None
+        while True:
+            message = self._codec.decode_upstream(await self._reader.receive_line())
+            if isinstance(message, Row):
+                rows.append(message.text)
+            elif isinstance(message, Done | Failed) and ended is None:
+                ended = message
+            elif isinstance(message, Ready) and ended is not None:
+                return _build_reply(ended, rows, message)
+            else:
+                raise UpstreamUnavailableError("an answer makes no sense")
+
+    async def open_session(self, service, instance):
+        """Name the database that must answer, and wait until it does."""
+        try:
+            await self._stream.send(self._codec.connect(service, instance))
+            line = await self._reader.receive_line()
+        except _BROKEN as error:
+            raise UpstreamUnavailableError(
+                "the database closed a new connection", is_sent=False
+            ) from error
+        message = self._codec.decode_upstream(line)
+        if isinstance(message, Ready):
+            return
+        is_failed = isinstance(message, Failed)
+        outcome = message.outcome if is_failed else Outcome.FAILED
+        reason = f"{outcome.value}: {message.reason}" if is_failed else "no greeting"
+        error = UpstreamUnavailableError(
+            f"the database refused a connection: {reason}", is_sent=False
+        )
+        error.outcome = outcome
+        raise error
+
+    def close(self):
+        """Close at once; the database rolls back what was open."""
+        self.is_usable = False
+        self.is_closed = True
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket, None)
+        transport = getattr(self._stream, "_transport", None)
+        if transport is not None:
+            transport.abort()
+        elif raw is not None:
+            raw.close()
+
+
+def _build_reply(ended, rows, ready):
+    if isinstance(ended, Done):
+        return Reply(
+            Outcome.DONE,
+            rows=tuple(rows),
+            receipt=ended.receipt,
+            state=ready.state,
+            position=ready.position,
+        )
+    return Reply(
+        ended.outcome,
+        reason=ended.reason,
+        state=ready.state,
+        position=ready.position,
+    )
+
+
+async def open_link(copy, codec, timeout_s=OPEN_TIMEOUT_S):
+    """Open a connection to a database that answers under its id.
+
+    Parameters
+    ----------
+    copy : Copy
+        The database.
+    codec : LineCodec
+        The line protocol.
+    timeout_s : float
+        How long to try.
+
+    Returns
+    -------
+    UpstreamLink
+
+    Raises
+    ------
+    UpstreamUnavailableError
+        If it cannot be opened.
+    """
+    stream = None
+    try:
+        with anyio.fail_after(timeout_s):
+            stream = await connect_stream(copy.address, timeout_s)
+            link = UpstreamLink(stream, codec)
+            await link.open_session(copy.service, copy.instance)
+            return link
+    except TimeoutError as error:
+        await _drop(stream)
+        raise UpstreamUnavailableError(
+            f"{copy.instance} is silent", is_sent=False
+        ) from error
+    except OSError as error:
+        await _drop(stream)
+        raise UpstreamUnavailableError(
+            f"cannot connect to {copy.instance}: {error}",
+            is_refused=_is_refused(error),
+            is_sent=False,
+        ) from error
+    except BaseException:
+        await _drop(stream)
+        raise
+
+
+async def _drop(stream):
+    if stream is not None:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+
+
+def _is_refused(error):
+    cause = error
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError):
+            return True
+        if getattr(cause, "errno", None) == errno.ECONNREFUSED:
+            return True
+        cause = cause.__cause__ or cause.__context__
+    return False
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -9,6 +9,7 @@
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import monotonic_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_proxy.fleet.streams import tune_stream
 
 logger = logging.getLogger("bronzescale.peers")
 
@@ -321,6 +322,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, int(port))
+                tune_stream(stream)
         except (OSError, TimeoutError) as error:
             raise PeerUnavailableError(
                 f"cannot connect to {node.name} at {node.address}", False
@@ -344,7 +346,8 @@
             raise PeerUnavailableError(
                 f"{node.name} does not greet at {node.address}", False
             ) from error
-        if not isinstance(hello, wire.Hello) or hello.node != node.name:
+        is_expected = isinstance(hello, wire.Hello) and node.name in ("", hello.node)
+        if not is_expected:
             raise PeerUnavailableError(
                 f"another node answers at {node.address} of {node.name}", False
             )
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -1911,6 +1911,563 @@
         return not (self == other)
 
 
+class WireValue(object):
+    """
+    Attributes:
+     - name
+     - value
+
+    """
+
+    __slots__ = (
+        'name',
+        'value',
+    )
+
+
+    def __init__(self, name=None, value=None,):
+        self.name = name
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WireValue')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeString(self.value.encode('utf-8') if sys.version_info[0] == 2 else self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WireWork(object):
+    """
+    Attributes:
+     - service_name
+     - upstream
+     - step
+     - request_id
+     - text
+     - is_write
+     - is_read_only
+     - session_values
+     - prepared_name
+     - shape
+     - floor_term
+     - floor_offset
+     - max_age_ms
+     - needs_lead
+     - transaction_id
+     - priority
+     - remaining_ms
+     - is_shape_write
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'upstream',
+        'step',
+        'request_id',
+        'text',
+        'is_write',
+        'is_read_only',
+        'session_values',
+        'prepared_name',
+        'shape',
+        'floor_term',
+        'floor_offset',
+        'max_age_ms',
+        'needs_lead',
+        'transaction_id',
+        'priority',
+        'remaining_ms',
+        'is_shape_write',
+    )
+
+
+    def __init__(self, service_name=None, upstream=None, step=None, request_id=None, text=None, is_write=None, is_read_only=None, session_values=None, prepared_name=None, shape=None, floor_term=None, floor_offset=None, max_age_ms=None, needs_lead=None, transaction_id=None, priority=None, remaining_ms=None, is_shape_write=None,):
+        self.service_name = service_name
+        self.upstream = upstream
+        self.step = step
+        self.request_id = request_id
+        self.text = text
+        self.is_write = is_write
+        self.is_read_only = is_read_only
+        self.session_values = session_values
+        self.prepared_name = prepared_name
+        self.shape = shape
+        self.floor_term = floor_term
+        self.floor_offset = floor_offset
+        self.max_age_ms = max_age_ms
+        self.needs_lead = needs_lead
+        self.transaction_id = transaction_id
+        self.priority = priority
+        self.remaining_ms = remaining_ms
+        self.is_shape_write = is_shape_write
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.step = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.text = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_write = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_read_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.session_values = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = WireValue()
+                        _elem33.read(iprot)
+                        self.session_values.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.prepared_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.shape = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.floor_term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.floor_offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.max_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.needs_lead = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.transaction_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.is_shape_write = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WireWork')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 3)
+            oprot.writeI32(self.step)
+            oprot.writeFieldEnd()
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 4)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.text is not None:
+            oprot.writeFieldBegin('text', TType.STRING, 5)
+            oprot.writeString(self.text.encode('utf-8') if sys.version_info[0] == 2 else self.text)
+            oprot.writeFieldEnd()
+        if self.is_write is not None:
+            oprot.writeFieldBegin('is_write', TType.BOOL, 6)
+            oprot.writeBool(self.is_write)
+            oprot.writeFieldEnd()
+        if self.is_read_only is not None:
+            oprot.writeFieldBegin('is_read_only', TType.BOOL, 7)
+            oprot.writeBool(self.is_read_only)
+            oprot.writeFieldEnd()
+        if self.session_values is not None:
+            oprot.writeFieldBegin('session_values', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.session_values))
+            for iter34 in self.session_values:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prepared_name is not None:
+            oprot.writeFieldBegin('prepared_name', TType.STRING, 9)
+            oprot.writeString(self.prepared_name.encode('utf-8') if sys.version_info[0] == 2 else self.prepared_name)
+            oprot.writeFieldEnd()
+        if self.shape is not None:
+            oprot.writeFieldBegin('shape', TType.STRING, 10)
+            oprot.writeString(self.shape.encode('utf-8') if sys.version_info[0] == 2 else self.shape)
+            oprot.writeFieldEnd()
+        if self.floor_term is not None:
+            oprot.writeFieldBegin('floor_term', TType.I64, 11)
+            oprot.writeI64(self.floor_term)
+            oprot.writeFieldEnd()
+        if self.floor_offset is not None:
+            oprot.writeFieldBegin('floor_offset', TType.I64, 12)
+            oprot.writeI64(self.floor_offset)
+            oprot.writeFieldEnd()
+        if self.max_age_ms is not None:
+            oprot.writeFieldBegin('max_age_ms', TType.I64, 13)
+            oprot.writeI64(self.max_age_ms)
+            oprot.writeFieldEnd()
+        if self.needs_lead is not None:
+            oprot.writeFieldBegin('needs_lead', TType.BOOL, 14)
+            oprot.writeBool(self.needs_lead)
+            oprot.writeFieldEnd()
+        if self.transaction_id is not None:
+            oprot.writeFieldBegin('transaction_id', TType.I64, 15)
+            oprot.writeI64(self.transaction_id)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 16)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 17)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.is_shape_write is not None:
+            oprot.writeFieldBegin('is_shape_write', TType.BOOL, 18)
+            oprot.writeBool(self.is_shape_write)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WireAnswer(object):
+    """
+    Attributes:
+     - outcome
+     - reach
+     - reason
+     - rows
+     - receipt
+     - term
+     - offset
+     - transaction_id
+     - retry_after_ms
+     - load
+     - is_unreachable
+
+    """
+
+    __slots__ = (
+        'outcome',
+        'reach',
+        'reason',
+        'rows',
+        'receipt',
+        'term',
+        'offset',
+        'transaction_id',
+        'retry_after_ms',
+        'load',
+        'is_unreachable',
+    )
+
+
+    def __init__(self, outcome=None, reach=None, reason=None, rows=None, receipt=None, term=None, offset=None, transaction_id=None, retry_after_ms=None, load=None, is_unreachable=None,):
+        self.outcome = outcome
+        self.reach = reach
+        self.reason = reason
+        self.rows = rows
+        self.receipt = receipt
+        self.term = term
+        self.offset = offset
+        self.transaction_id = transaction_id
+        self.retry_after_ms = retry_after_ms
+        self.load = load
+        self.is_unreachable = is_unreachable
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.reach = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.rows.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.receipt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.transaction_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.load = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.is_unreachable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WireAnswer')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 1)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.reach is not None:
+            oprot.writeFieldBegin('reach', TType.STRING, 2)
+            oprot.writeString(self.reach.encode('utf-8') if sys.version_info[0] == 2 else self.reach)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.rows))
+            for iter41 in self.rows:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.receipt is not None:
+            oprot.writeFieldBegin('receipt', TType.STRING, 5)
+            oprot.writeString(self.receipt.encode('utf-8') if sys.version_info[0] == 2 else self.receipt)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 6)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 7)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.transaction_id is not None:
+            oprot.writeFieldBegin('transaction_id', TType.I64, 8)
+            oprot.writeI64(self.transaction_id)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 9)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.load is not None:
+            oprot.writeFieldBegin('load', TType.DOUBLE, 10)
+            oprot.writeDouble(self.load)
+            oprot.writeFieldEnd()
+        if self.is_unreachable is not None:
+            oprot.writeFieldBegin('is_unreachable', TType.BOOL, 11)
+            oprot.writeBool(self.is_unreachable)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Body(object):
     """
     Attributes:
@@ -1928,6 +2485,8 @@
      - objects_request
      - objects
      - hello
+     - work
+     - answer
 
     """
 
@@ -1946,10 +2505,12 @@
         'objects_request',
         'objects',
         'hello',
+        'work',
+        'answer',
     )
 
 
-    def __init__(self, heartbeat=None, statement=None, part=None, failure=None, credit=None, cancel=None, end_transaction=None, head_request=None, head_reply=None, evidence_request=None, evidence_reply=None, objects_request=None, objects=None, hello=None,):
+    def __init__(self, heartbeat=None, statement=None, part=None, failure=None, credit=None, cancel=None, end_transaction=None, head_request=None, head_reply=None, evidence_request=None, evidence_reply=None, objects_request=None, objects=None, hello=None, work=None, answer=None,):
         self.heartbeat = heartbeat
         self.statement = statement
         self.part = part
@@ -1964,6 +2525,8 @@
         self.objects_request = objects_request
         self.objects = objects
         self.hello = hello
+        self.work = work
+        self.answer = answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2058,6 +2621,18 @@
                     self.hello.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.work = WireWork()
+                    self.work.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.answer = WireAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2124,6 +2699,14 @@
             oprot.writeFieldBegin('hello', TType.STRUCT, 14)
             self.hello.write(oprot)
             oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.STRUCT, 15)
+            self.work.write(oprot)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 16)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2370,6 +2953,49 @@
     (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
 )
+all_structs.append(WireValue)
+WireValue.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'UTF8', None, ),  # 2
+)
+all_structs.append(WireWork)
+WireWork.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'step', None, None, ),  # 3
+    (4, TType.STRING, 'request_id', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'text', 'UTF8', None, ),  # 5
+    (6, TType.BOOL, 'is_write', None, None, ),  # 6
+    (7, TType.BOOL, 'is_read_only', None, None, ),  # 7
+    (8, TType.LIST, 'session_values', (TType.STRUCT, [WireValue, None], False), None, ),  # 8
+    (9, TType.STRING, 'prepared_name', 'UTF8', None, ),  # 9
+    (10, TType.STRING, 'shape', 'UTF8', None, ),  # 10
+    (11, TType.I64, 'floor_term', None, None, ),  # 11
+    (12, TType.I64, 'floor_offset', None, None, ),  # 12
+    (13, TType.I64, 'max_age_ms', None, None, ),  # 13
+    (14, TType.BOOL, 'needs_lead', None, None, ),  # 14
+    (15, TType.I64, 'transaction_id', None, None, ),  # 15
+    (16, TType.I32, 'priority', None, None, ),  # 16
+    (17, TType.I64, 'remaining_ms', None, None, ),  # 17
+    (18, TType.BOOL, 'is_shape_write', None, None, ),  # 18
+)
+all_structs.append(WireAnswer)
+WireAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'reach', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'rows', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.STRING, 'receipt', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'term', None, None, ),  # 6
+    (7, TType.I64, 'offset', None, None, ),  # 7
+    (8, TType.I64, 'transaction_id', None, None, ),  # 8
+    (9, TType.I64, 'retry_after_ms', None, None, ),  # 9
+    (10, TType.DOUBLE, 'load', None, None, ),  # 10
+    (11, TType.BOOL, 'is_unreachable', None, None, ),  # 11
+)
 all_structs.append(Body)
 Body.thrift_spec = (
     None,  # 0
@@ -2387,6 +3013,8 @@
     (12, TType.STRUCT, 'objects_request', [WireObjectsRequest, None], None, ),  # 12
     (13, TType.STRUCT, 'objects', [WireObjects, None], None, ),  # 13
     (14, TType.STRUCT, 'hello', [WireHello, None], None, ),  # 14
+    (15, TType.STRUCT, 'work', [WireWork, None], None, ),  # 15
+    (16, TType.STRUCT, 'answer', [WireAnswer, None], None, ),  # 16
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -21,11 +21,13 @@
     StatementKind,
     StatementRequest,
 )
+from bronzescale_core.work import Outcome, Reach, Shape, Work, WorkAnswer, WorkStep
 from bronzescale_proxy.thrift_gen import ttypes as t
 
 HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 ZLIB_LEVEL = 6
+_STEPS = tuple(WorkStep)
 _PROTOCOL = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_FRAME_BYTES, container_length_limit=10_000_000
 )
@@ -304,6 +306,90 @@
     return t.Body(objects=t.WireObjects(message.since, message.revision, objects))
 
 
+@to_body.register
+def _(message: Work, now_ms):
+    shape = message.prepared
+    work = t.WireWork(
+        service_name=message.service,
+        upstream=message.upstream,
+        step=_STEPS.index(message.step),
+        request_id=message.request_id,
+        text=message.text,
+        is_write=message.is_write,
+        is_read_only=message.is_read_only,
+        session_values=[t.WireValue(*pair) for pair in message.values] or None,
+        prepared_name=message.prepared_name or None,
+        shape=None if shape is None else shape.text,
+        is_shape_write=None if shape is None else shape.is_write,
+        floor_term=message.floor.term,
+        floor_offset=message.floor.offset,
+        max_age_ms=message.max_age_ms,
+        needs_lead=message.needs_lead,
+        transaction_id=message.transaction_id,
+        priority=message.priority,
+        remaining_ms=max(0, message.deadline_ms - now_ms),
+    )
+    return t.Body(work=work)
+
+
+@to_body.register
+def _(message: WorkAnswer, now_ms):
+    answer = t.WireAnswer(
+        outcome=message.outcome.value,
+        reach=message.reach.value,
+        reason=message.reason or None,
+        rows=list(message.rows) or None,
+        receipt=message.receipt,
+        term=message.position.term,
+        offset=message.position.offset,
+        transaction_id=message.transaction_id,
+        retry_after_ms=message.retry_after_ms or None,
+        load=message.load,
+        is_unreachable=message.is_unreachable or None,
+    )
+    return t.Body(answer=answer)
+
+
+def _load_work(value, now_ms):
+    shape = None
+    if value.shape is not None:
+        shape = Shape(bool(value.is_shape_write), value.shape)
+    return Work(
+        service=value.service_name,
+        upstream=value.upstream,
+        step=_STEPS[value.step],
+        request_id=value.request_id,
+        text=value.text,
+        is_write=value.is_write,
+        is_read_only=value.is_read_only,
+        values=tuple((v.name, v.value) for v in value.session_values or ()),
+        prepared_name=value.prepared_name or "",
+        prepared=shape,
+        floor=Position(value.floor_term, value.floor_offset),
+        max_age_ms=value.max_age_ms,
+        needs_lead=value.needs_lead,
+        transaction_id=value.transaction_id,
+        priority=value.priority,
+        deadline_ms=now_ms + value.remaining_ms,
+        received_at_ms=now_ms,
+    )
+
+
+def _load_answer(value, now_ms):
+    return WorkAnswer(
+        outcome=Outcome(value.outcome),
+        reach=Reach(value.reach),
+        reason=value.reason or "",
+        rows=tuple(value.rows or ()),
+        receipt=value.receipt,
+        position=Position(value.term, value.offset),
+        transaction_id=value.transaction_id,
+        retry_after_ms=value.retry_after_ms or 0,
+        load=value.load,
+        is_unreachable=bool(value.is_unreachable),
+    )
+
+
 def _load_position(value):
     return Position(value.term, value.offset)
 
@@ -371,6 +457,8 @@
 
 
 _LOADERS = {
+    "work": _load_work,
+    "answer": _load_answer,
     "heartbeat": _load_heartbeat,
     "statement": _load_statement,
     "part": _load_part,
