Prove the lead by replicas alone, warm connections up, know the hosts before ready

Ruled out: a longer lease (adds to every change), proofs from the store alone (a call costs as much as two probes and stops with the store). Change: hosts are part of what a node must know before it serves; the owner of a primary keeps its proof and opens a connection for each slot; statements count as signs of life; evidence is probed when asked for; a planned change ends the old lead first and then waits out one lease.

--- a/packages/bronzescale-core/src/bronzescale_core/catalog.py
+++ b/packages/bronzescale-core/src/bronzescale_core/catalog.py
@@ -145,6 +145,10 @@
         """
         return [c for c in self._copies.values() if c.service == service]
 
+    def all(self):
+        """Return every database."""
+        return list(self._copies.values())
+
     def find(self, instance):
         """Return a database or None."""
         return self._copies.get(instance)
--- a/packages/bronzescale-core/src/bronzescale_core/leadership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/leadership.py
@@ -15,8 +15,8 @@
 LEAD_LEASE_MS = 700
 # Clocks of two hosts may run apart; a promoter waits this much longer.
 LEASE_MARGIN_MS = 50
-# A probe of each copy serves all statements of this time.
-PROBE_INTERVAL_MS = 220
+# Two rounds of questions fit into a lease, so that one lost answer stops nothing.
+PROOF_INTERVAL_MS = 290
 # Samples further apart than this would make replicas look older than they are.
 SAMPLE_SPACING_MS = 40
 # Covers ages up to several seconds at the sample spacing.
@@ -166,27 +166,28 @@
         self._pending = None
 
 
-def copies_prove_lead(primary, statuses):
-    """Tell whether the copies show that no promotion is under way.
+def copies_prove_lead(term, statuses):
+    """Tell whether the other copies show that no promotion is under way.
+
+    A promoter pauses the copy that takes over, and waits out the lease, before it
+    orders the promotion; so a lead is proven while no copy is paused for a later term.
 
     Parameters
     ----------
-    primary : CopyStatus or None
-        What the primary said.
+    term : int
+        Term of the primary.
     statuses : sequence of CopyStatus or None
-        What every other copy said; None for one that did not answer.
+        What every copy but the primary said; None for one that did not answer.
 
     Returns
     -------
     bool
     """
-    if primary is None or not primary.is_primary or not statuses:
-        return False
-    return all(
+    return bool(statuses) and all(
         status is not None
         and not status.is_primary
-        and status.term <= primary.term
-        and status.held_term <= primary.term
+        and status.term <= term
+        and status.held_term <= term
         for status in statuses
     )
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/entry.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/entry.py
@@ -172,7 +172,7 @@
 
     async def _await_configuration(self):
         with anyio.move_on_after(CONFIGURATION_WITHIN_S):
-            while self._node.configuration is None:
+            while self._node.configuration is None or not self._node.is_informed:
                 await self._node.changed.wait()
 
     async def _receive(self):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -13,7 +13,7 @@
 from bronzescale_core.groups import Phase
 from bronzescale_core.leadership import (
     LEAD_LEASE_MS,
-    PROBE_INTERVAL_MS,
+    PROOF_INTERVAL_MS,
     HeadSample,
     Lead,
     copies_prove_lead,
@@ -31,10 +31,15 @@
 USE_LASTS_MS = 3_000
 # Half of the lease: the store is asked when the copies alone have not proved it.
 STORE_PROOF_AFTER_MS = LEAD_LEASE_MS // 2
-# Watchers of a primary probe it this often; the detector counts three of them.
+# The owner of a primary probes it this often unless statements show that it lives.
 WATCH_INTERVAL_MS = 400
+# Other watchers only need to notice a primary that was lost together with its owner.
+FAR_WATCH_INTERVAL_MS = 1_000
 # An owner in another region answers within 130 ms, its probe of the primary included.
 HEAD_TIMEOUT_S = 0.4
+# A doubted primary is asked once more for a watcher that wants evidence.
+EVIDENCE_PROBE_S = 0.25
+UNUSED_CHECK_S = 0.1
 # A busy database answers BUSY at once, so that silence of three probes is no load.
 DETECTION = DetectionLimits(
     refused_streak=3, refused_span_ms=500, silent_streak=3, silent_span_ms=1_300
@@ -61,7 +66,8 @@
         self._used_at_ms = 0
         self._proved = anyio.Event()
         self._head_lock = anyio.Lock()
-        self.statuses = {}
+        self._term = 0
+        self._answered_at_ms = 0
 
     @property
     def primary(self):
@@ -171,31 +177,67 @@
 
     # Probing
 
+    def note_answer(self, instance):
+        """Take an answer to a statement as a sign of the primary's life."""
+        if instance == self._detected:
+            self._answered_at_ms = now_ms()
+
     async def run(self):
-        """Probe while this node serves or watches the primary."""
+        """Prove and probe while this node serves or watches the primary."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_proof)
+            tasks.start_soon(self._keep_watch)
+
+    def _owns_primary(self):
+        return self.primary is not None and self._node.is_first(self.primary)
+
+    async def _keep_proof(self):
         while True:
             primary = self.primary
-            if primary is None:
-                await anyio.sleep(0.05)
-                continue
             is_used = now_ms() - self._used_at_ms < USE_LASTS_MS
-            if not is_used and not self._node.watches(self.service):
-                await anyio.sleep(PROBE_INTERVAL_MS / 1_000)
+            if primary is None or not (is_used or self._owns_primary()):
+                await anyio.sleep(UNUSED_CHECK_S)
                 continue
             started_at_ms = now_ms()
-            await self._probe(primary, is_used)
-            interval_ms = PROBE_INTERVAL_MS if is_used else WATCH_INTERVAL_MS
+            await self._prove(primary)
+            left_ms = PROOF_INTERVAL_MS - (now_ms() - started_at_ms)
+            await anyio.sleep(max(20, left_ms) / 1_000)
+
+    async def _keep_watch(self):
+        while True:
+            primary = self.primary
+            if primary is None or not self._node.watches(self.service):
+                await anyio.sleep(UNUSED_CHECK_S)
+                continue
+            started_at_ms = now_ms()
+            if self._detected != primary:
+                self._detected = primary
+                self.detector = FailureDetector(now_ms(), DETECTION)
+            is_near = self._owns_primary()
+            interval_ms = WATCH_INTERVAL_MS if is_near else FAR_WATCH_INTERVAL_MS
+            if self.detector.finding(now_ms()).verdict is not Verdict.ALIVE:
+                interval_ms = WATCH_INTERVAL_MS
+            if now_ms() - self._answered_at_ms < interval_ms:
+                self.detector.observe(ProbeOutcome.ANSWERED, now_ms())
+            else:
+                await self._probe_primary(primary)
             left_ms = interval_ms - (now_ms() - started_at_ms)
             await anyio.sleep(max(20, left_ms) / 1_000)
 
-    async def _probe(self, primary, is_used):
-        if self._detected != primary:
-            self._detected = primary
-            self.detector = FailureDetector(now_ms(), DETECTION)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._probe_primary, primary)
-            if is_used:
-                tasks.start_soon(self._prove, primary)
+    async def probe_now(self):
+        """Return this node's verdict from a probe made for the asker."""
+        primary = self.primary
+        if primary is None:
+            return Verdict.SUSPECT
+        control = self._node.control(primary)
+        if control is None:
+            return Verdict.DOWN
+        try:
+            await control.status(EVIDENCE_PROBE_S)
+        except UpstreamUnavailableError as error:
+            is_alive = probe_outcome(error) is ProbeOutcome.ANSWERED
+            return Verdict.ALIVE if is_alive else Verdict.DOWN
+        return Verdict.ALIVE
 
     async def _probe_primary(self, primary):
         control = self._node.control(primary)
@@ -205,7 +247,6 @@
         try:
             status = await control.status()
         except UpstreamUnavailableError as error:
-            self.statuses.pop(primary, None)
             before = self.detector.finding(now_ms()).verdict
             finding = self.detector.observe(probe_outcome(error), now_ms())
             if finding.verdict is not before:
@@ -222,7 +263,7 @@
         self._take_status(primary, status, sent_at_ms)
 
     def _take_status(self, primary, status, sent_at_ms):
-        self.statuses[primary] = status
+        self._term = max(self._term, status.term)
         if status.is_primary:
             self.lead.sample(primary, status.received, sent_at_ms)
 
@@ -239,9 +280,9 @@
                 for instance in others:
                     tasks.start_soon(self._ask, instance, statuses)
         answers = [statuses.get(instance) for instance in others]
-        status = self.statuses.get(primary)
-        if self.primary == primary and copies_prove_lead(status, answers):
-            self._take_proof(primary, status.term, asked_at_ms)
+        term = self._known_term(primary)
+        if term and self.primary == primary and copies_prove_lead(term, answers):
+            self._take_proof(primary, term, asked_at_ms)
             return
         proof = self.lead.proof
         is_fresh = (
@@ -252,6 +293,14 @@
         if not is_fresh:
             await self._prove_by_store(primary)
 
+    def _known_term(self, primary):
+        """Return the term of the primary as far as it is known for certain."""
+        state = self._node.state(self.service)
+        if state is not None:
+            is_its = state.primary == primary and state.phase is Phase.ACTIVE
+            return state.term if is_its else 0
+        return self._term
+
     async def _ask(self, instance, statuses):
         control = self._node.control(instance)
         if control is None:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -26,6 +26,8 @@
 # Nodes to try for one database: its zone's first two, then others.
 OWNERS_TO_TRY = 4
 SWEEP_S = 0.25
+# The other nodes have started by then, so that only one warms up a database.
+WARM_UP_AFTER_S = 1.5
 # A node that is not first in rank gives its connections back after this rest.
 OWNER_REST_MS = 2_000
 
@@ -67,6 +69,7 @@
         self.catalog = Catalog()
         self.configuration = None
         self.is_stopping = False
+        self.is_informed = False
         self.objects = {}
         self.tasks = None
         self.changed = anyio.Event()
@@ -80,6 +83,7 @@
         """Run until cancelled."""
         async with anyio.create_task_group() as self.tasks:
             try:
+                self.tasks.start_soon(self.warm_up)
                 for service in list(self._keepers):
                     self._start_keeper(service)
                 while True:
@@ -342,6 +346,13 @@
         """Return the databases that this node serves."""
         return list(self._owners.values())
 
+    async def warm_up(self):
+        """Open connections to the databases that this node is first in rank for."""
+        await anyio.sleep(WARM_UP_AFTER_S)
+        for copy in self.catalog.all():
+            if self.is_first(copy.instance) and not copy.is_leaving:
+                await self.owner(copy.instance).warm_up()
+
     def control(self, instance):
         """Return the link for orders to a database, or None if it is unknown."""
         control = self._controls.get(instance)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -111,6 +111,14 @@
             answer = await self._run_admitted(work, opener)
         return answer._replace(load=round(self.load, 2))
 
+    async def warm_up(self):
+        """Open a connection for each slot before statements need them."""
+        while self._pool.size < self.copy.slots:
+            try:
+                await self._pool.add_idle()
+            except UpstreamUnavailableError:
+                return
+
     # Transactions
 
     async def _run_in_transaction(self, work):
@@ -366,6 +374,7 @@
         return self._answer(work, reply, sent_at_ms)
 
     def _answer(self, work, reply, sent_at_ms):
+        self._keeper.note_answer(self.copy.instance)
         if self.copy.instance == self._keeper.primary and reply.is_done:
             self._keeper.lead.sample(self.copy.instance, reply.position, sent_at_ms)
         if reply.outcome in NOT_RUN_OUTCOMES:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
@@ -5,8 +5,6 @@
 
 # Databases close connections that rest for a minute; drop them somewhat earlier.
 IDLE_CLOSE_MS = 45_000
-# One statement a second keeps an owner's link from looking silent.
-SPARE_SHARE = 0.8
 
 
 class LinkPool:
@@ -63,6 +61,13 @@
             self._idle.remove(best)
             self.lent += 1
             return best
+        return await self._open()
+
+    async def add_idle(self):
+        """Open a connection and keep it for later."""
+        self.give_back(await self._open())
+
+    async def _open(self):
         self.lent += 1
         try:
             link = await open_link(self._copy, self._codec)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -26,7 +26,8 @@
 from bronzescale_proxy.fleet.clock import now_ms
 
 CHECK_INTERVAL_S = 0.1
-EVIDENCE_TIMEOUT_S = 0.35
+# A probe at the other watcher and the way there and back.
+EVIDENCE_TIMEOUT_S = 0.4
 # Each further watcher waits this much longer, so that the first usually acts alone.
 RANK_DELAY_MS = 350
 # A driver gives up its claim after this time; others take over later than that.
@@ -35,7 +36,7 @@
 # An order that has not been answered by then is dropped with its connection.
 ORDER_TIMEOUT_S = 0.8
 RETRY_AFTER_MS = 700
-CATCH_UP_MS = 1_500
+CATCH_UP_MS = 800
 POLL_S = 0.04
 
 
@@ -181,7 +182,7 @@
         claim = await self._claim(trigger, candidates)
         expires_ms = now_ms() + CLAIM_LASTS_MS
         if trigger.cause is Cause.LEAVING:
-            await self._catch_up(trigger.primary, expires_ms)
+            await self._catch_up(trigger.primary, claim.term)
         paused = await self._fence(trigger.primary, claim.term)
         fenced_at_ms = now_ms()
         leading = [c for c in candidates if c.status.is_primary]
@@ -229,19 +230,18 @@
         self._keeper.lead.revoke()
         return await self._node.write_state(claim)
 
-    async def _catch_up(self, primary, expires_ms):
-        """Wait until no save can start, then until a copy holds all of them."""
-        await anyio.sleep((LEAD_LEASE_MS + LEASE_MARGIN_MS) / 1_000)
-        deadline_ms = min(now_ms() + CATCH_UP_MS, expires_ms - LEAD_LEASE_MS - 500)
-        while now_ms() < deadline_ms:
-            found = await self._survey()
-            old = [c for c in found if c.instance == primary]
-            if not old:
-                return
-            others = [
-                c for c in found if c.instance != primary and not c.is_leaving
-            ] or [c for c in found if c.instance != primary]
-            if any(c.status.received >= old[0].status.received for c in others):
+    async def _catch_up(self, primary, term):
+        """End the old primary's lead and wait until a copy holds its whole log."""
+        copy = self._node.catalog.find(primary)
+        if copy is None:
+            return
+        ended = []
+        await self._order_copy(copy, self._node.codec.step_down(term), ended)
+        deadline_ms = now_ms() + CATCH_UP_MS
+        while ended and now_ms() < deadline_ms:
+            found = [c for c in await self._survey() if c.instance != primary]
+            staying = [c for c in found if not c.is_leaving] or found
+            if any(c.status.received >= ended[0].status.received for c in staying):
                 return
             await anyio.sleep(POLL_S)
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
@@ -62,9 +62,11 @@
     @_answer.register
     async def _(self, message: wire.EvidenceRequest, channel):
         settings = self._node.settings
-        verdict = self._node.keeper(message.service).finding().verdict.value
+        verdict = await self._node.keeper(message.service).probe_now()
         await channel.send(
-            wire.EvidenceReply(settings.node, settings.zone, message.term, verdict)
+            wire.EvidenceReply(
+                settings.node, settings.zone, message.term, verdict.value
+            )
         )
 
     @_answer.register
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -54,8 +54,7 @@
     @property
     def is_informed(self):
         """Return whether the store or a peer has told everything that is needed."""
-        needed = (CONFIGURATION, UPSTREAMS, GROUPS)
-        return self.has_peer_word or all(kind in self._listed for kind in needed)
+        return self.has_peer_word or all(kind in self._listed for kind in WATCHED_KINDS)
 
     async def run(self):
         """Run until cancelled."""
@@ -96,6 +95,7 @@
         if kind == HOSTS:
             await self._take_hosts()
         self._listed.add(kind)
+        self._tell_informed()
         return listing.revision
 
     async def _watch(self, kind, revision):
@@ -147,6 +147,11 @@
             # The answer to an earlier write was lost; the watch will show it.
             return
 
+    def _tell_informed(self):
+        if self.is_informed:
+            self._node.is_informed = True
+            self._node.notify()
+
     # Peers
 
     def _learn_seeds(self):
@@ -259,6 +264,7 @@
             self._node.learn(item)
         if message.since == 0 and message.revision > 0:
             self.has_peer_word = True
+            self._tell_informed()
 
     def answer_objects(self, request):
         """Return the objects that a peer asks for."""
