--- /dev/null
+++ b/tests/adapter/test_documents.py
@@ -0,0 +1,140 @@
+"""The platform's documents, also such as other writers leave behind."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bronzescale_core.catalog import RouteKind
+from bronzescale_platform import documents
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "kajaani",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "db_role": "replica",
+    "seq": 4,
+    "born": 1772656353280,
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "fiti8",
+    "path_prefix": "/",
+    "type": "read_your_writes",
+    "timeout_ms": 1000,
+    "slo_ms": 2000,
+    "priority": 2,
+    "service": "huvo11a",
+    "max_attempts": 2,
+    "max_staleness_ms": 2500,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "huvo11a", "max_conns": 21, "sync_replicas": 0}],
+    "limits": {"max_body_bytes": 262144, "tx_idle_ms": 3000},
+}
+SETTINGS = """node=front-kajaani-1
+ip=10.1.0.8
+zone=kajaani
+region=pohjoinen
+zones.kajaani=pohjoinen
+zones.hameenlinna=etela
+listen.front=10.1.0.8:8784
+listen.ready=10.1.0.8:8785
+listen.control=10.1.0.8:8782
+port_range=7440,7455
+seeds=10.1.0.8:8782,10.2.0.6:8782
+limits.max_fds=4200
+bounds.grace_s=6
+bounds.config_apply_ms=4000
+platform.address=10.200.1.7:8783
+cloud_api.address=10.200.0.160:8783
+something.new=7
+"""
+
+
+class EntryTest(testtools.TestCase):
+    def test_entry(self):
+        copy = documents.decode_copy("i-7", ENTRY)
+        self.assertEqual("10.128.0.9:8080", copy.address)
+        self.assertFalse(copy.is_leaving)
+        self.assertFalse(copy.is_primary)
+        self.assertEqual(1772656353280, copy.incarnation)
+
+    def test_draining_primary(self):
+        entry = {**ENTRY, "state": "draining", "db_role": "primary"}
+        copy = documents.decode_copy("i-7", entry)
+        self.assertTrue(copy.is_leaving)
+        self.assertTrue(copy.is_primary)
+
+    def test_entries_of_other_writers_name_no_database(self):
+        for change in (
+            {"service": None},
+            {"service": 4},
+            {"address": "nowhere"},
+            {"address": "10.1.2.3:0"},
+            {"address": "10.1.2.300:80"},
+            {"zone": []},
+            {"state": "resting"},
+            {"db_role": "king"},
+            {"db_role": None},
+            {"slots": "3"},
+            {"slots": 0},
+            {"slots": True},
+            {"born": "today"},
+        ):
+            entry = {**ENTRY, **change}
+            self.assertIsNone(documents.decode_copy("i-7", entry), change)
+        for entry in (None, "text", [], 7, {}):
+            self.assertIsNone(documents.decode_copy("i-7", entry))
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(sorted(ENTRY)),
+            st.one_of(st.none(), st.integers(), st.text(max_size=8), st.booleans()),
+        )
+    )
+    def test_any_entry_is_read_without_an_error(self, change):
+        documents.decode_copy("i-7", {**ENTRY, **change})
+
+
+class ConfigurationTest(testtools.TestCase):
+    def test_configuration(self):
+        configuration = documents.decode_configuration(CONFIGURATION)
+        route = configuration.routes["fiti8"]
+        self.assertEqual(RouteKind.READ_YOUR_WRITES, route.kind)
+        self.assertEqual(
+            (1000, 2000, 2500, 2),
+            (route.timeout_ms, route.target_ms, route.max_age_ms, route.priority),
+        )
+        self.assertEqual(21, configuration.services["huvo11a"].max_connections)
+        self.assertEqual(3000, configuration.transaction_idle_ms)
+
+    def test_unreadable_configuration_is_a_typed_error(self):
+        for change in ({"routes": None}, {"version": "x"}, {"services": [{}]}):
+            self.assertRaises(
+                documents.UnreadableDocumentError,
+                documents.decode_configuration,
+                {**CONFIGURATION, **change},
+            )
+
+
+class SettingsTest(testtools.TestCase):
+    def test_settings(self):
+        settings = documents.decode_settings(SETTINGS)
+        self.assertEqual("front-kajaani-1", settings.node)
+        self.assertEqual("10.1.0.8:8782", settings.peer_address)
+        self.assertEqual(2, len(settings.seeds))
+        self.assertEqual(6_000, settings.stop_grace_ms)
+        self.assertEqual("10.1.0.8:7455", settings.metrics_address)
+        self.assertEqual("etela", settings.regions["hameenlinna"])
+
+    def test_a_machine_without_a_peer_listener_uses_the_port_range(self):
+        text = SETTINGS.replace("listen.control=10.1.0.8:8782\n", "")
+        settings = documents.decode_settings(text)
+        self.assertEqual("10.1.0.8:7440", settings.peer_address)
