Replace a primary that vanished before anybody probed it; stand-ins for the fleet

Cause: a test against the new stand-ins showed that no node acted when a primary's entry was gone before its detector had failed three probes and no group state had ever been written: no database was believed to lead, so none was replaced. Ruled out: the detector (it never saw the primary fail). Change: the promoter remembers who led, and takes databases of which none says that it leads for 5 s as leaderless. A stopping process is unready at once.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -67,9 +67,12 @@
         Counters and histograms.
     log : DecisionLog
         Structured log.
+    takes_signals : bool
+        Whether SIGTERM and SIGHUP are this instance's.
     """
 
-    def __init__(self, settings, adapter, metrics, log):
+    def __init__(self, settings, adapter, metrics, log, takes_signals=True):
+        self._takes_signals = takes_signals
         self._settings = settings
         self._adapter = adapter
         self._metrics = metrics
@@ -89,13 +92,17 @@
         self._callers = None
         self._stop_asked = anyio.Event()
 
+    def request_stop(self):
+        """Ask for a graceful stop."""
+        self._stop_asked.set()
+
     def is_ready(self):
         """Return whether the balancer may send callers here."""
         is_ready = (
             self.node is not None
             and self.node.configuration is not None
             and self._spreader.is_informed
-            and not self.node.is_stopping
+            and not self._stop_asked.is_set()
         )
         if is_ready and not self._is_ready_logged:
             self._is_ready_logged = True
@@ -145,7 +152,8 @@
             )
             tasks.start_soon(self.node.run)
             tasks.start_soon(self._spreader.run)
-            tasks.start_soon(self._take_signals)
+            if self._takes_signals:
+                tasks.start_soon(self._take_signals)
             self._log.believe("started", zone=settings.zone)
             await self._stop_asked.wait()
             await self._stop()
@@ -197,7 +205,7 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
                 if number == signal.SIGTERM:
-                    self._stop_asked.set()
+                    self.request_stop()
                 else:
                     self._reload()
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -36,6 +36,8 @@
 # An order that has not been answered by then is dropped with its connection.
 ORDER_TIMEOUT_S = 0.8
 RETRY_AFTER_MS = 700
+# Databases that start together have all announced themselves by then.
+LEADERLESS_MS = 5_000
 CATCH_UP_MS = 800
 POLL_S = 0.04
 
@@ -65,6 +67,8 @@
         self._retry_at_ms = 0
         self._cause_since_ms = None
         self._open_since = (0, 0)
+        self._last_primary = ""
+        self._leaderless_since_ms = None
 
     async def run(self):
         """Run until cancelled."""
@@ -94,7 +98,9 @@
             return self._open_trigger(state)
         primary = self._keeper.primary
         if primary is None:
-            return None
+            return self._leaderless_trigger()
+        self._leaderless_since_ms = None
+        self._last_primary = primary
         copy = node.catalog.find(primary)
         if copy is None:
             return Trigger(Cause.GONE, primary, "its entry is gone")
@@ -105,6 +111,19 @@
             return Trigger(Cause.DOWN, primary, finding.reason)
         return None
 
+    def _leaderless_trigger(self):
+        """Return a trigger if no entry names a primary and none was ever agreed.
+
+        While databases start, the primary's entry may come after the others'.
+        """
+        if self._last_primary:
+            return Trigger(Cause.GONE, self._last_primary, "its entry is gone")
+        if self._leaderless_since_ms is None:
+            self._leaderless_since_ms = now_ms()
+        if now_ms() - self._leaderless_since_ms < LEADERLESS_MS:
+            return None
+        return Trigger(Cause.GONE, "", "no database says that it leads")
+
     def _open_trigger(self, state):
         """Return a trigger for a change that its driver left open."""
         version, since_ms = self._open_since
--- /dev/null
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -0,0 +1,250 @@
+"""Run nodes of the fleet, databases and the store in one loop, for tests."""
+
+import itertools
+import os
+import socket
+import time
+from contextlib import asynccontextmanager
+
+import anyio
+
+from bronzescale_platform import documents
+from bronzescale_platform.lines import Lines
+from bronzescale_platform.objects import HttpCaller, ObjectStore, PrimaryOrders
+from bronzescale_proxy.fleet.compose import Adapter, FleetProcess
+from bronzescale_proxy.fleet.conf import FleetSettings
+from bronzescale_proxy.fleet.metrics import FleetMetrics
+from bronzescale_standins.fleet.callers import LineCaller
+from bronzescale_standins.fleet.database import Group
+from bronzescale_standins.fleet.objects import ObjectPlatform
+
+ZONES = {"a": "north", "b": "north", "c": "south"}
+HEARTBEAT_S = 0.2
+# Below the range from which the kernel takes ports for outgoing connections.
+FIRST_PORT = 20_000
+PORTS = 10_000
+ROUTES = (
+    {"host": "lead", "type": "primary", "priority": 1},
+    {"host": "aged", "type": "bounded_staleness", "max_staleness_ms": 1_500},
+    {"host": "own", "type": "read_your_writes", "max_staleness_ms": 2_500},
+)
+
+
+class MemoryLog:
+    """Keep decisions for a test instead of writing them."""
+
+    def __init__(self):
+        self.lines = []
+        self.dropped_total = 0
+
+    def decide(self, event, **fields):
+        """Keep a decision."""
+        self.lines.append((event, fields))
+
+    believe = decide
+
+    def flush(self):
+        """Do nothing."""
+
+    def events(self, name):
+        """Return the fields of every line of an event."""
+        return [fields for event, fields in self.lines if event == name]
+
+
+_ports = itertools.count(FIRST_PORT + os.getpid() % 200 * 40)
+
+
+def free_port():
+    """Return a port that nobody listens on, outside of the ephemeral range."""
+    while True:
+        port = FIRST_PORT + (next(_ports) - FIRST_PORT) % PORTS
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+class Member:
+    """One node of the fleet under test."""
+
+    def __init__(self, world, name, zone):
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.caller_port = free_port()
+        self.ready_port = free_port()
+        self.peer_port = free_port()
+        self.log = MemoryLog()
+        self.process = None
+        self._scope = None
+        self.ended = anyio.Event()
+
+    def settings(self):
+        """Return the node's settings."""
+        return FleetSettings(
+            node=self.name,
+            zone=self.zone,
+            region=ZONES[self.zone],
+            regions=ZONES,
+            caller_address=f"127.0.0.1:{self.caller_port}",
+            ready_address=f"127.0.0.1:{self.ready_port}",
+            peer_address=f"127.0.0.1:{self.peer_port}",
+            seeds=self.world.seeds(),
+            store_address=f"127.0.0.1:{self.world.platform.port}",
+            orders_address=f"127.0.0.1:{self.world.platform.port}",
+            stop_grace_ms=4_000,
+        )
+
+    async def run(self):
+        """Run until stopped or killed."""
+        settings = self.settings()
+        metrics = FleetMetrics()
+        store = ObjectStore(
+            HttpCaller(settings.store_address, metrics),
+            HttpCaller(settings.store_address, metrics),
+        )
+        orders = PrimaryOrders(
+            HttpCaller(settings.orders_address, metrics), settings.node
+        )
+        adapter = Adapter(Lines(), documents, store, orders, self.settings)
+        self.process = FleetProcess(
+            settings, adapter, metrics, self.log, takes_signals=False
+        )
+        self.ended = anyio.Event()
+        with anyio.CancelScope() as self._scope:
+            await self.process.run()
+        self.ended.set()
+
+    def kill(self):
+        """End at once, without a word to anybody."""
+        self._scope.cancel()
+
+    async def caller(self, database, **options):
+        """Return a connected caller."""
+        return await LineCaller.connect(self.caller_port, database, **options)
+
+
+class World:
+    """Fleet, databases and store of one test.
+
+    Parameters
+    ----------
+    nodes : int
+        Nodes of the fleet, spread over the zones.
+    """
+
+    def __init__(self, nodes=3, **database_options):
+        self.group = Group("svc")
+        self.platform = ObjectPlatform({"svc": self.group})
+        zones = list(ZONES)
+        self.members = [
+            Member(self, f"n{i + 1}", zones[i % len(zones)]) for i in range(nodes)
+        ]
+        for number, zone in enumerate(zones, 1):
+            self.group.add(f"d{number}", zone, **database_options)
+        self.version = 0
+        self.tasks = None
+        self.is_beating = True
+
+    def seeds(self):
+        """Return peer addresses of the first nodes."""
+        return tuple(f"127.0.0.1:{m.peer_port}" for m in self.members[:3])
+
+    def configure(self, routes=ROUTES, **limits):
+        """Write the next configuration."""
+        self.version += 3
+        documents_ = [
+            {
+                "name": f"r-{route['host']}",
+                "service": "svc",
+                "timeout_ms": 1_500,
+                "slo_ms": 1_000,
+                "priority": 2,
+                **route,
+            }
+            for route in routes
+        ]
+        spec = {
+            "version": self.version,
+            "routes": documents_,
+            "services": [{"name": "svc", "max_conns": 21, "sync_replicas": 0}],
+            "limits": {"tx_idle_ms": 3_000, "max_body_bytes": 262_144, **limits},
+        }
+        self.platform.put("config", "main", spec)
+
+    async def _beat(self):
+        """Keep the databases' entries as they would themselves."""
+        while True:
+            for database in self.group.databases.values():
+                if self.is_beating:
+                    self.register(database)
+            await anyio.sleep(HEARTBEAT_S)
+
+    def register(self, database):
+        """Write or remove a database's entry."""
+        name = database.instance
+        if not database.is_running:
+            self.platform.delete("servers", name)
+            return
+        spec = {
+            "service": "svc",
+            "address": database.address,
+            "zone": database.zone,
+            "version": "v1",
+            "slots": database.slots,
+            "state": "draining" if getattr(database, "is_leaving", False) else "ready",
+            "cold_left_ms": 0,
+            "db_role": "primary" if database.is_primary else "replica",
+            "seq": 1,
+            "born": database.born_ms,
+        }
+        self.platform.put("servers", name, spec)
+
+    async def start_database(self, database):
+        """Start a database and wait until it listens."""
+        await self.tasks.start(_run_with_status, database)
+
+    def start_member(self, member):
+        """Start a node."""
+        self.tasks.start_soon(member.run)
+
+    async def until_ready(self, members=None, timeout_s=10.0):
+        """Wait until nodes are ready."""
+        with anyio.fail_after(timeout_s):
+            for member in members or self.members:
+                while member.process is None or not member.process.is_ready():
+                    await anyio.sleep(0.01)
+
+    async def until(self, condition, timeout_s=10.0):
+        """Wait until a condition holds and return how long that took, in s."""
+        started = time.monotonic()
+        with anyio.fail_after(timeout_s):
+            while not condition():
+                await anyio.sleep(0.01)
+        return time.monotonic() - started
+
+
+async def _run_with_status(runner, *, task_status):
+    await runner.run(task_status)
+
+
+@asynccontextmanager
+async def running_world(nodes=3, **database_options):
+    """Yield a world whose nodes are ready."""
+    world = World(nodes, **database_options)
+    async with anyio.create_task_group() as tasks:
+        world.tasks = tasks
+        await tasks.start(_run_with_status, world.platform)
+        for database in world.group.databases.values():
+            await tasks.start(_run_with_status, database)
+            world.register(database)
+        world.configure()
+        tasks.start_soon(world._beat)
+        for member in world.members:
+            world.start_member(member)
+        await world.until_ready()
+        yield world
+        tasks.cancel_scope.cancel()
