Watch the store from two nodes a zone, detect silence sooner

Ruled out: one newest revision in heartbeats as the sign of a missed object: a pushed group state would hide a configuration that was missed (test). Change: two watchers a zone push to their mates; heartbeats carry one digest for each kind, and a difference pulls that kind; a doubted primary is probed again at once with a shorter timeout; uninformed nodes retry within 0.3 s.

--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -21,6 +21,7 @@
   3: i32 status,
   4: i64 revision,
   5: list<WireRumor> rumors,
+  6: list<i64> digests,
 }
 
 struct WirePosition {
@@ -111,6 +112,7 @@
 
 struct WireObjectsRequest {
   1: i64 since,
+  2: list<string> kinds,
 }
 
 struct WireObjects {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -37,12 +37,16 @@
 FAR_WATCH_INTERVAL_MS = 1_000
 # An owner in another region answers within 130 ms, its probe of the primary included.
 HEAD_TIMEOUT_S = 0.4
+# Longer than the way to another region and back, several times over.
+DETECTION_PROBE_S = 0.35
 # A doubted primary is asked once more for a watcher that wants evidence.
 EVIDENCE_PROBE_S = 0.25
 UNUSED_CHECK_S = 0.1
+# A doubted primary is probed again at once, silent or refused.
+DOUBT_INTERVAL_MS = 150
 # A busy database answers BUSY at once, so that silence of three probes is no load.
 DETECTION = DetectionLimits(
-    refused_streak=3, refused_span_ms=500, silent_streak=3, silent_span_ms=1_300
+    refused_streak=3, refused_span_ms=400, silent_streak=3, silent_span_ms=1_000
 )
 
 
@@ -215,9 +219,10 @@
                 self.detector = FailureDetector(now_ms(), DETECTION)
             is_near = self._owns_primary()
             interval_ms = WATCH_INTERVAL_MS if is_near else FAR_WATCH_INTERVAL_MS
-            if self.detector.finding(now_ms()).verdict is not Verdict.ALIVE:
-                interval_ms = WATCH_INTERVAL_MS
-            if now_ms() - self._answered_at_ms < interval_ms:
+            is_doubted = self.detector.finding(now_ms()).verdict is not Verdict.ALIVE
+            if is_doubted:
+                interval_ms = DOUBT_INTERVAL_MS
+            if now_ms() - self._answered_at_ms < WATCH_INTERVAL_MS:
                 self.detector.observe(ProbeOutcome.ANSWERED, now_ms())
             else:
                 await self._probe_primary(primary)
@@ -245,7 +250,7 @@
             return
         sent_at_ms = now_ms()
         try:
-            status = await control.status()
+            status = await control.status(DETECTION_PROBE_S)
         except UpstreamUnavailableError as error:
             before = self.detector.finding(now_ms()).verdict
             finding = self.detector.observe(probe_outcome(error), now_ms())
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -20,8 +20,8 @@
 UPSTREAMS = "upstreams"
 HOSTS = "hosts"
 GROUPS = "groups"
-# Kinds that peers pass on; each node learns the hosts by itself.
-SHARED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS)
+# Kinds that peers pass on.
+SHARED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
 MAIN = "main"
 # Nodes to try for one database: its zone's first two, then others.
 OWNERS_TO_TRY = 4
@@ -130,20 +130,22 @@
                     self.learn(known._replace(version=known.version + 1, value=None))
         self.notify()
 
-    def known_revision(self):
-        """Return the newest revision among the objects that peers pass on."""
-        versions = (
-            item.version for item in self.objects.values() if item.kind in SHARED_KINDS
-        )
-        return max(versions, default=0)
+    def digests(self):
+        """Return one number for what is known of each shared kind.
+
+        Nodes that know the same live objects at the same versions agree on them; a
+        single newest revision would hide an older object that was missed.
+        """
+        sums = dict.fromkeys(SHARED_KINDS, 0)
+        for item in self.objects.values():
+            if item.value is not None and item.kind in sums:
+                sums[item.kind] += item.version
+        return tuple(sums[kind] for kind in SHARED_KINDS)
 
-    def objects_since(self, revision):
-        """Return the objects that changed after a revision."""
-        return [
-            item
-            for item in self.objects.values()
-            if item.version > revision and item.kind in SHARED_KINDS
-        ]
+    def objects_of(self, kinds):
+        """Return every known object of some kinds, deleted ones included."""
+        wanted = set(kinds or SHARED_KINDS) & set(SHARED_KINDS)
+        return [item for item in self.objects.values() if item.kind in wanted]
 
     def notify(self):
         """Wake whoever waits for a change of what this node knows."""
@@ -260,10 +262,12 @@
         self.push([item])
         return state._replace(version=item.version)
 
-    def push(self, items):
-        """Send objects to the other live nodes without waiting."""
+    def push(self, items, zone=""):
+        """Send objects to the other live nodes, perhaps of one zone, not waiting."""
         message = wire.Objects(-1, -1, items)
         for node in self.membership.live():
+            if zone and node.zone != zone:
+                continue
             if node.name != self.settings.node and self.tasks is not None:
                 self.tasks.start_soon(self.peers.tell, node, message)
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -7,7 +7,7 @@
     HEARTBEAT_TIMEOUT_MS,
     Rumor,
 )
-from bronzescale_core.rendezvous import Node
+from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_proxy import wire
 from bronzescale_proxy.exceptions import (
     HistoryGoneError,
@@ -30,7 +30,12 @@
 RETRY_MIN_S = 0.15
 # An outage must be noticed to have ended soon enough for a configuration.
 RETRY_MAX_S = 0.8
+# A node that knows nothing serves nobody, so it asks more often.
+RETRY_UNINFORMED_S = 0.3
 PULL_TIMEOUT_S = 1.0
+# Nodes of a zone that watch the store; they push what changed to the others.
+WATCHERS_PER_ZONE = 2
+ROLE_CHECK_S = 0.5
 
 
 class Spreader:
@@ -72,6 +77,9 @@
         retry_s = RETRY_MIN_S
         revision = None
         while True:
+            if revision is not None and not self.is_watcher():
+                await anyio.sleep(ROLE_CHECK_S)
+                continue
             try:
                 if revision is None:
                     revision = await self._list(kind)
@@ -85,7 +93,8 @@
             except StoreError as error:
                 self._note_failure(kind, error)
                 await anyio.sleep(retry_s * self._random.uniform(0.7, 1.3))
-                retry_s = min(RETRY_MAX_S, retry_s * 2)
+                longest_s = RETRY_MAX_S if self.is_informed else RETRY_UNINFORMED_S
+                retry_s = min(longest_s, retry_s * 2)
 
     async def _list(self, kind):
         listing = await self._node.store.list(kind)
@@ -102,12 +111,24 @@
         changes = await self._node.store.watch(kind, revision, WATCH_WAIT_MS)
         if kind in self._failing:
             self._node.catalog.note_outage(now_ms())
-        for item in changes.objects:
-            self._node.learn(item)
+        fresh = [item for item in changes.objects if self._node.learn(item)]
+        self._push_to_zone(fresh)
         if kind == HOSTS and changes.objects:
             await self._take_hosts()
         return changes.revision
 
+    def is_watcher(self):
+        """Return whether this node watches the store for its zone."""
+        zone = self._node.settings.zone
+        mates = [n for n in self._node.membership.eligible() if n.zone == zone]
+        ranked = rank_nodes(f"store-watch/{zone}", mates)[:WATCHERS_PER_ZONE]
+        own = self._node.settings.node
+        return self._node.is_stopping or any(node.name == own for node in ranked)
+
+    def _push_to_zone(self, fresh):
+        if fresh:
+            self._node.push(fresh, self._node.settings.zone)
+
     def _note_answer(self, kind):
         if kind in self._failing:
             self._failing.discard(kind)
@@ -122,6 +143,13 @@
         self._node.metrics.set_store_state(False)
 
     async def _take_hosts(self):
+        own = self._node.membership.own
+        own_value = self._take_nodes()
+        if own_value is None or own_value.value != _dump_host(own):
+            await self._register(own, own_value)
+
+    def _take_nodes(self):
+        """Join the listed hosts to the membership; return this node's own entry."""
         own = self._node.membership.own
         nodes = []
         own_value = None
@@ -133,8 +161,7 @@
             else:
                 nodes.append(_load_host(name, item.value))
         self._node.membership.take_list([n for n in nodes if n is not None], set())
-        if own_value is None or own_value.value != _dump_host(own):
-            await self._register(own, own_value)
+        return own_value
 
     async def _register(self, own, known):
         revision = known.version if known is not None else 0
@@ -218,8 +245,9 @@
             own.name,
             own.incarnation,
             status,
-            self._node.known_revision(),
+            0,
             rumors,
+            self._node.digests(),
         )
 
     async def answer_heartbeat(self, heartbeat, channel):
@@ -235,43 +263,47 @@
             heartbeat.node, heartbeat.incarnation, heartbeat.status, heartbeat.rumors
         )
         sender = membership.find(heartbeat.node)
-        is_behind = heartbeat.revision > self._node.known_revision()
-        if sender is not None and (is_behind or not self.is_informed):
+        own = self._node.digests()
+        different = [
+            kind
+            for kind, mine, theirs in zip(
+                SHARED_KINDS, own, heartbeat.digests, strict=False
+            )
+            if mine != theirs
+        ]
+        if sender is not None and (different or not self.is_informed):
+            kinds = different if self.is_informed else ()
             try:
-                await self._pull(sender)
+                await self._pull(sender, kinds)
             except PeerUnavailableError:
                 return
 
-    async def _pull(self, peer):
-        since = 0 if not self.is_informed else self._oldest_revision()
+    async def _pull(self, peer, kinds=()):
         reply = await self._node.peers.ask(
-            peer, wire.ObjectsRequest(since), PULL_TIMEOUT_S
+            peer, wire.ObjectsRequest(0, tuple(kinds)), PULL_TIMEOUT_S
         )
         if isinstance(reply, wire.Objects):
             self.take_objects(reply)
 
-    def _oldest_revision(self):
-        """Return the lowest of the newest revisions of each kind."""
-        newest = dict.fromkeys(SHARED_KINDS, 0)
-        for item in self._node.objects.values():
-            if item.kind in newest:
-                newest[item.kind] = max(newest[item.kind], item.version)
-        return min(newest[CONFIGURATION], newest[UPSTREAMS])
-
     def take_objects(self, message):
         """Take objects from a peer."""
-        for item in message.objects:
-            self._node.learn(item)
-        if message.since == 0 and message.revision > 0:
+        fresh = [item for item in message.objects if self._node.learn(item)]
+        if any(item.kind == HOSTS for item in fresh):
+            self._take_nodes()
+        if message.revision > 0:
             self.has_peer_word = True
             self._tell_informed()
 
     def answer_objects(self, request):
-        """Return the objects that a peer asks for."""
+        """Return the objects that a peer asks for.
+
+        Only a node that is informed itself, asked for everything, informs others.
+        """
         if not self.is_informed:
             return wire.Objects(request.since, 0, [])
-        found = self._node.objects_since(request.since)
-        return wire.Objects(request.since, self._node.known_revision(), found)
+        found = self._node.objects_of(request.kinds)
+        revision = 0 if request.kinds else 1
+        return wire.Objects(request.since, revision, found)
 
     async def announce_leaving(self):
         """Tell every live node that this one takes no new ownership."""
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -233,6 +233,7 @@
      - status
      - revision
      - rumors
+     - digests
 
     """
 
@@ -242,15 +243,17 @@
         'status',
         'revision',
         'rumors',
+        'digests',
     )
 
 
-    def __init__(self, node=None, incarnation=None, status=None, revision=None, rumors=None,):
+    def __init__(self, node=None, incarnation=None, status=None, revision=None, rumors=None, digests=None,):
         self.node = node
         self.incarnation = incarnation
         self.status = status
         self.revision = revision
         self.rumors = rumors
+        self.digests = digests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -292,6 +295,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.digests = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI64()
+                        self.digests.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -321,8 +334,15 @@
         if self.rumors is not None:
             oprot.writeFieldBegin('rumors', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rumors))
-            for iter6 in self.rumors:
-                iter6.write(oprot)
+            for iter12 in self.rumors:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.digests))
+            for iter13 in self.digests:
+                oprot.writeI64(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -793,20 +813,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.columns = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readBinary()
-                        self.columns.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readBinary()
+                        self.columns.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readBinary()
-                        self.rows.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readBinary()
+                        self.rows.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -829,15 +849,15 @@
         if self.columns is not None:
             oprot.writeFieldBegin('columns', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.columns))
-            for iter19 in self.columns:
-                oprot.writeBinary(iter19)
+            for iter26 in self.columns:
+                oprot.writeBinary(iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.rows))
-            for iter20 in self.rows:
-                oprot.writeBinary(iter20)
+            for iter27 in self.rows:
+                oprot.writeBinary(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.end is not None:
@@ -1666,16 +1686,19 @@
     """
     Attributes:
      - since
+     - kinds
 
     """
 
     __slots__ = (
         'since',
+        'kinds',
     )
 
 
-    def __init__(self, since=None,):
+    def __init__(self, since=None, kinds=None,):
         self.since = since
+        self.kinds = kinds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1691,6 +1714,16 @@
                     self.since = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.kinds = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.kinds.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1705,6 +1738,13 @@
             oprot.writeFieldBegin('since', TType.I64, 1)
             oprot.writeI64(self.since)
             oprot.writeFieldEnd()
+        if self.kinds is not None:
+            oprot.writeFieldBegin('kinds', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.kinds))
+            for iter34 in self.kinds:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1773,11 +1813,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.objects = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = WireObject()
-                        _elem26.read(iprot)
-                        self.objects.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = WireObject()
+                        _elem40.read(iprot)
+                        self.objects.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1802,8 +1842,8 @@
         if self.objects is not None:
             oprot.writeFieldBegin('objects', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.objects))
-            for iter27 in self.objects:
-                iter27.write(oprot)
+            for iter41 in self.objects:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2104,11 +2144,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.session_values = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = WireValue()
-                        _elem33.read(iprot)
-                        self.session_values.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = WireValue()
+                        _elem47.read(iprot)
+                        self.session_values.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2203,8 +2243,8 @@
         if self.session_values is not None:
             oprot.writeFieldBegin('session_values', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.session_values))
-            for iter34 in self.session_values:
-                iter34.write(oprot)
+            for iter48 in self.session_values:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prepared_name is not None:
@@ -2344,10 +2384,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.rows.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.rows.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2411,8 +2451,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.rows))
-            for iter41 in self.rows:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter55 in self.rows:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.receipt is not None:
@@ -2835,6 +2875,7 @@
     (3, TType.I32, 'status', None, None, ),  # 3
     (4, TType.I64, 'revision', None, None, ),  # 4
     (5, TType.LIST, 'rumors', (TType.STRUCT, [WireRumor, None], False), None, ),  # 5
+    (6, TType.LIST, 'digests', (TType.I64, None, False), None, ),  # 6
 )
 all_structs.append(WirePosition)
 WirePosition.thrift_spec = (
@@ -2939,6 +2980,7 @@
 WireObjectsRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'since', None, None, ),  # 1
+    (2, TType.LIST, 'kinds', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(WireObjects)
 WireObjects.thrift_spec = (
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -48,6 +48,8 @@
         Revision of the store's objects that it knows.
     rumors : list of Rumor
         Standings that it spreads.
+    digests : tuple of int
+        One number for what it knows of each kind of object; empty for none.
     """
 
     node: str
@@ -55,6 +57,7 @@
     status: Status
     revision: int
     rumors: list
+    digests: tuple = ()
 
 
 class Hello(NamedTuple):
@@ -133,9 +136,10 @@
 
 
 class ObjectsRequest(NamedTuple):
-    """Ask for the objects changed after a revision."""
+    """Ask for the objects of some kinds changed after a revision; no kinds for all."""
 
     since: int
+    kinds: tuple = ()
 
 
 class Objects(NamedTuple):
@@ -206,6 +210,7 @@
         int(message.status),
         message.revision,
         rumors,
+        list(message.digests) or None,
     )
     return t.Body(heartbeat=heartbeat)
 
@@ -294,7 +299,9 @@
 
 @to_body.register
 def _(message: ObjectsRequest, now_ms):
-    return t.Body(objects_request=t.WireObjectsRequest(message.since))
+    return t.Body(
+        objects_request=t.WireObjectsRequest(message.since, list(message.kinds) or None)
+    )
 
 
 @to_body.register
@@ -397,7 +404,12 @@
 def _load_heartbeat(value, now_ms):
     rumors = [Rumor(_load_node(r.node), Status(r.status)) for r in value.rumors]
     return Heartbeat(
-        value.node, value.incarnation, Status(value.status), value.revision, rumors
+        value.node,
+        value.incarnation,
+        Status(value.status),
+        value.revision,
+        rumors,
+        tuple(value.digests or ()),
     )
 
 
@@ -478,7 +490,9 @@
     "evidence_reply": lambda value, now_ms: EvidenceReply(
         value.node, value.zone, value.term, value.verdict
     ),
-    "objects_request": lambda value, now_ms: ObjectsRequest(value.since),
+    "objects_request": lambda value, now_ms: ObjectsRequest(
+        value.since, tuple(value.kinds or ())
+    ),
     "objects": _load_objects,
     "hello": lambda value, now_ms: Hello(value.node, value.incarnation),
 }
--- a/tests/test_fleet_runtime.py
+++ b/tests/test_fleet_runtime.py
@@ -424,6 +424,21 @@
             await anyio.sleep(2.6)
             self.assertTrue((await caller.query("READ x")).is_done)
 
+    @in_loop
+    async def test_a_missed_configuration_is_found_behind_newer_objects(self):
+        """A newer group state must not hide that a configuration was missed."""
+        async with running_world(nodes=6) as world:
+            member = world.members[0]
+            node = member.process.node
+            stale = node.objects[("configuration", "main")]
+            world.configure((*ROUTES, {"host": "later", "type": "primary"}))
+            await world.until(lambda: node.configuration.version == world.version)
+            node.configuration = node.configuration._replace(version=1)
+            node.objects[("configuration", "main")] = stale
+            newer = stale._replace(kind="groups", name="x", version=10_000, value={})
+            node.objects[("groups", "x")] = newer
+            await world.until(lambda: node.configuration.version == world.version, 4)
+
 
 class StoppingTest(testtools.TestCase):
     @in_loop
