Let work end at databases that left; drop hosts that stopped from the list

Cause: a database whose entry was gone had its connections closed at once, also under open transactions; a stopped or removed host stayed listed, so a host that started later counted it as alive until its own relays had timed out. Ruled out: waiting for the membership's heartbeats, which reach four neighbours only. Change: owners of databases that left retire and close as their work ends; failed relays count as missed heartbeats; a stopping host removes its entry.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -27,6 +27,8 @@
 TRANSACTIONS_SHARE = 0.5
 # Time left for the last answers before the process is killed.
 STOP_MARGIN_MS = 700
+# Peers and the store are told in this time, or find out by themselves.
+ANNOUNCE_S = 0.5
 POLL_S = 0.05
 
 
@@ -220,8 +222,10 @@
         grace_ms = self._settings.stop_grace_ms
         self.node.is_stopping = True
         self._log.believe("stopping", callers=self._callers.open_count)
-        with anyio.move_on_after(0.5):
+        with anyio.move_on_after(ANNOUNCE_S):
             await self._spreader.announce_leaving()
+        with anyio.move_on_after(ANNOUNCE_S):
+            await self._spreader.unregister()
         await _sleep_until(began_ms + UNREADY_NOTICED_MS)
         self._callers.close_idle()
         await self._drain_until(began_ms + int(grace_ms * TRANSACTIONS_SHARE))
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -196,7 +196,7 @@
         if copy is None:
             if self.catalog.remove(item.name, now_ms()):
                 self.log.believe("upstream_gone", upstream=item.name)
-                self._forget(item.name)
+                self._retire(item.name)
             return
         if not self.catalog.put(copy):
             return
@@ -354,6 +354,8 @@
         if self._suspected_until_ms.get(peer.name, 0) <= now_ms():
             self.log.believe("peer_suspected", peer=peer.name)
         self._suspected_until_ms[peer.name] = now_ms() + SUSPICION_MS
+        if self.membership.missed(peer.name):
+            self.log.believe("peer_down", peer=peer.name, reason="relays fail")
 
     async def is_answering(self, peer):
         """Return whether a node answers a short question now."""
@@ -397,6 +399,15 @@
             self._controls[instance] = control
         return control
 
+    def _retire(self, instance):
+        """Give a database that left no new work; what is open there may end."""
+        owner = self._owners.get(instance)
+        if owner is not None:
+            owner.retire()
+        control = self._controls.pop(instance, None)
+        if control is not None:
+            control.close()
+
     def _forget(self, instance):
         owner = self._owners.pop(instance, None)
         if owner is not None:
@@ -411,7 +422,7 @@
         """Drop what is no longer needed."""
         for instance in self.catalog.sweep(now_ms()):
             self.log.believe("upstream_gone", upstream=instance, reason="lapsed")
-            self._forget(instance)
+            self._retire(instance)
             self.notify()
         configuration = self.configuration
         idle_ms = configuration.transaction_idle_ms if configuration else 3_000
@@ -419,6 +430,11 @@
             for number in owner.resting_transactions(idle_ms):
                 self.log.decide("transaction_dropped", transaction=number)
                 self.tasks.start_soon(owner.roll_back, number)
+            is_gone = self.catalog.find(owner.copy.instance) is None
+            if is_gone and owner.is_idle:
+                self._owners.pop(owner.copy.instance, None)
+                owner.close()
+                continue
             is_resting = owner.is_idle and now_ms() - owner.used_at_ms > OWNER_REST_MS
             if is_resting and not self.is_first(owner.copy.instance):
                 self._owners.pop(owner.copy.instance, None)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -84,6 +84,10 @@
         """Return whether nothing runs, waits or stays open."""
         return not (self._queue.queued or self._queue.running or self._transactions)
 
+    def retire(self):
+        """Take no new work; connections close as what runs on them ends."""
+        self._pool.close()
+
     def close(self):
         """Close every connection; what is open rolls back."""
         for transaction in list(self._transactions.values()):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
@@ -1,5 +1,6 @@
 """Share a database's connections between sessions."""
 
+from bronzescale_proxy.exceptions import UpstreamUnavailableError
 from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.upstream import open_link
 
@@ -68,6 +69,10 @@
         self.give_back(await self._open())
 
     async def _open(self):
+        if self._is_closed:
+            raise UpstreamUnavailableError(
+                f"{self._copy.instance} has left", is_sent=False
+            )
         self.lent += 1
         try:
             link = await open_link(self._copy, self._codec)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -305,6 +305,13 @@
         revision = 0 if request.kinds else 1
         return wire.Objects(request.since, revision, found)
 
+    async def unregister(self):
+        """Remove this node from the listed hosts, so that nobody counts on it."""
+        try:
+            await self._node.store.delete(HOSTS, self._node.settings.node)
+        except StoreError as error:
+            self._node.log.believe("still_registered", reason=str(error))
+
     async def announce_leaving(self):
         """Tell every live node that this one takes no new ownership."""
         self._node.membership.leave()
--- a/tests/test_fleet_runtime.py
+++ b/tests/test_fleet_runtime.py
@@ -472,6 +472,35 @@
             await world.until(lambda: node.configuration.version == world.version, 4)
 
 
+class LeavingDatabaseTest(testtools.TestCase):
+    @in_loop
+    async def test_a_transaction_ends_at_a_database_whose_entry_is_gone(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("aged")
+            await caller.query("BEGIN READ")
+            self.assertTrue((await caller.query("READ x")).is_done)
+            (read,) = (e for e in world.group.history if e.kind == "read")
+            world.is_beating = False
+            world.platform.delete("servers", read.instance)
+            catalog = world.members[0].process.node.catalog
+            await world.until(lambda: catalog.find(read.instance) is None)
+            self.assertTrue((await caller.query("READ x")).is_done)
+            self.assertTrue((await caller.query("COMMIT")).is_done)
+
+    @in_loop
+    async def test_a_leaving_replica_gets_no_new_work(self):
+        async with running_world() as world:
+            caller = await world.members[1].caller("aged")
+            world.group.databases["d2"].is_leaving = True
+            catalog = world.members[1].process.node.catalog
+            await world.until(lambda: catalog.find("d2").is_leaving)
+            before = len(world.group.history)
+            for _ in range(10):
+                self.assertTrue((await caller.query("READ x")).is_done)
+            used = {e.instance for e in world.group.history[before:]}
+            self.assertNotIn("d2", used)
+
+
 class StoppingTest(testtools.TestCase):
     @in_loop
     async def test_a_stopping_node_cuts_no_request(self):
