Notice a silent primary sooner; ask a full database seldom

Ruled out: more frequent probes by all watchers (each counts as a request). Change: the owner of the primary acts first, looks for silence every 50 ms and probes after 350 ms without an answer; a pool that was refused waits 150 ms for a returned connection before it asks again.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -32,18 +32,18 @@
 # Half of the lease: the store is asked when the copies alone have not proved it.
 STORE_PROOF_AFTER_MS = LEAD_LEASE_MS // 2
 # The owner of a primary probes it this often unless statements show that it lives.
-WATCH_INTERVAL_MS = 400
+WATCH_INTERVAL_MS = 350
 # Other watchers only need to notice a primary that was lost together with its owner.
 FAR_WATCH_INTERVAL_MS = 1_000
 # An owner in another region answers within 130 ms, its probe of the primary included.
 HEAD_TIMEOUT_S = 0.4
 # Longer than the way to another region and back, several times over.
-DETECTION_PROBE_S = 0.35
+DETECTION_PROBE_S = 0.3
 # A doubted primary is asked once more for a watcher that wants evidence.
 EVIDENCE_PROBE_S = 0.25
 UNUSED_CHECK_S = 0.1
-# A doubted primary is probed again at once, silent or refused.
-DOUBT_INTERVAL_MS = 150
+# How soon a silence or the end of a doubt is noticed.
+WATCH_CHECK_S = 0.05
 # A busy database answers BUSY at once, so that silence of three probes is no load.
 DETECTION = DetectionLimits(
     refused_streak=3, refused_span_ms=400, silent_streak=3, silent_span_ms=1_000
@@ -213,21 +213,18 @@
             if primary is None or not self._node.watches(self.service):
                 await anyio.sleep(UNUSED_CHECK_S)
                 continue
-            started_at_ms = now_ms()
             if self._detected != primary:
                 self._detected = primary
+                self._answered_at_ms = now_ms()
                 self.detector = FailureDetector(now_ms(), DETECTION)
             is_near = self._owns_primary()
-            interval_ms = WATCH_INTERVAL_MS if is_near else FAR_WATCH_INTERVAL_MS
+            rest_ms = WATCH_INTERVAL_MS if is_near else FAR_WATCH_INTERVAL_MS
             is_doubted = self.detector.finding(now_ms()).verdict is not Verdict.ALIVE
-            if is_doubted:
-                interval_ms = DOUBT_INTERVAL_MS
-            if now_ms() - self._answered_at_ms < WATCH_INTERVAL_MS:
-                self.detector.observe(ProbeOutcome.ANSWERED, now_ms())
-            else:
+            if is_doubted or now_ms() - self._answered_at_ms >= rest_ms:
                 await self._probe_primary(primary)
-            left_ms = interval_ms - (now_ms() - started_at_ms)
-            await anyio.sleep(max(20, left_ms) / 1_000)
+            else:
+                self.detector.observe(ProbeOutcome.ANSWERED, self._answered_at_ms)
+            await anyio.sleep(WATCH_CHECK_S)
 
     async def probe_now(self):
         """Return this node's verdict from a probe made for the asker."""
@@ -265,6 +262,7 @@
                 )
             return
         self.detector.observe(ProbeOutcome.ANSWERED, now_ms())
+        self._answered_at_ms = now_ms()
         self._take_status(primary, status, sent_at_ms)
 
     def _take_status(self, primary, status, sent_at_ms):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -310,10 +310,17 @@
         return names.index(own) if own in names else len(names)
 
     def watchers(self, service):
-        """Return the nodes that are first in rank for the copies of a service."""
+        """Return the nodes that are first in rank for the copies of a service.
+
+        The primary's owner is the first: it notices most and has the proof at hand.
+        """
         found = {}
-        copies = self.catalog.copies(service)
-        for copy in sorted(copies, key=lambda each: each.instance):
+        primary = self.keeper(service).primary
+        copies = sorted(
+            self.catalog.copies(service),
+            key=lambda copy: (copy.instance != primary, copy.instance),
+        )
+        for copy in copies:
             ranked = self.rank(copy.instance)
             if ranked:
                 found.setdefault(ranked[0].name, ranked[0])
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
@@ -1,11 +1,16 @@
 """Share a database's connections between sessions."""
 
+import anyio
+
+from bronzescale_core.work import Outcome
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
 from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.upstream import open_link
 
 # Databases close connections that rest for a minute; drop them somewhat earlier.
 IDLE_CLOSE_MS = 45_000
+# A database that is full is asked for another connection this seldom.
+FULL_PAUSE_MS = 150
 
 
 class LinkPool:
@@ -28,6 +33,8 @@
         self._idle = []
         self.lent = 0
         self._is_closed = False
+        self._full_until_ms = 0
+        self._returned = anyio.Event()
 
     @property
     def size(self):
@@ -62,8 +69,18 @@
             self._idle.remove(best)
             self.lent += 1
             return best
+        if now_ms() < self._full_until_ms:
+            return await self._wait_for_link(values, name)
         return await self._open()
 
+    async def _wait_for_link(self, values, name):
+        """Wait for a connection to come back; the database accepts no more now."""
+        while now_ms() < self._full_until_ms and not self._idle:
+            event = self._returned
+            with anyio.move_on_after((self._full_until_ms - now_ms()) / 1_000):
+                await event.wait()
+        return await self.take(values, name)
+
     async def add_idle(self):
         """Open a connection and keep it for later."""
         self.give_back(await self._open())
@@ -76,6 +93,11 @@
         self.lent += 1
         try:
             link = await open_link(self._copy, self._codec)
+        except UpstreamUnavailableError as error:
+            self.lent -= 1
+            if getattr(error, "outcome", None) is Outcome.TOO_MANY:
+                self._full_until_ms = now_ms() + FULL_PAUSE_MS
+            raise
         except BaseException:
             self.lent -= 1
             raise
@@ -87,6 +109,8 @@
         self.lent -= 1
         if link.is_usable and not self._is_closed:
             self._idle.append(link)
+            self._returned.set()
+            self._returned = anyio.Event()
         else:
             link.close()
 
--- a/tests/test_fleet_runtime.py
+++ b/tests/test_fleet_runtime.py
@@ -3,7 +3,15 @@
 import anyio
 import testtools
 
-from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_core.catalog import Copy
+from bronzescale_core.work import Outcome
+from bronzescale_platform.lines import Lines
+from bronzescale_proxy.exceptions import (
+    PeerUnavailableError,
+    UpstreamUnavailableError,
+)
+from bronzescale_proxy.fleet import pool
+from bronzescale_proxy.fleet.metrics import FleetMetrics
 from bronzescale_standins.fleet.world import ROUTES, running_world
 
 
@@ -257,6 +265,37 @@
                 self.assertLessEqual(database.most_connections, 21)
 
 
+class FullDatabaseTest(testtools.TestCase):
+    """Pattern: connection storm; a full database is not asked again and again."""
+
+    @in_loop
+    async def test_a_full_database_is_asked_seldom(self):
+        asked = []
+
+        async def refuse(copy, codec):
+            asked.append(copy)
+            error = UpstreamUnavailableError("full", is_sent=False)
+            error.outcome = Outcome.TOO_MANY
+            raise error
+
+        self.patch(pool, "open_link", refuse)
+        copy = Copy("i-1", "svc", "127.0.0.1:1", "a", 3)
+        links = pool.LinkPool(copy, Lines(), FleetMetrics())
+
+        async def want():
+            with anyio.move_on_after(0.1):
+                try:
+                    await links.take((), "")
+                except UpstreamUnavailableError:
+                    return
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(30):
+                tasks.start_soon(want)
+                await anyio.sleep(0)
+        self.assertEqual(1, len(asked))
+
+
 class SilentOwnerTest(testtools.TestCase):
     """Pattern: an owner hangs; reads move on long before their deadline."""
 
