--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -75,6 +75,7 @@
         self.configuration = None
         self.is_stopping = False
         self.is_informed = False
+        self.is_store_answering = True
         self.objects = {}
         self.tasks = None
         self.changed = anyio.Event()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -30,6 +30,8 @@
 EVIDENCE_TIMEOUT_S = 0.4
 # Each further watcher waits this much longer, so that the first usually acts alone.
 RANK_DELAY_MS = 350
+# A node that the store turns away lets the others act first.
+STORE_LOST_DELAY_MS = 1_000
 # A driver gives up its claim after this time; others take over later than that.
 CLAIM_LASTS_MS = 3_000
 TAKEOVER_AFTER_MS = 4_500
@@ -139,6 +141,8 @@
         if self._cause_since_ms is None:
             self._cause_since_ms = now_ms()
         delay_ms = self._node.watch_rank(self._service) * RANK_DELAY_MS
+        if not self._node.is_store_answering:
+            delay_ms += STORE_LOST_DELAY_MS
         due_ms = max(self._cause_since_ms + delay_ms, self._retry_at_ms)
         return now_ms() >= due_ms
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -133,14 +133,18 @@
         if kind in self._failing:
             self._failing.discard(kind)
             self._node.log.believe("store_answers_again", kind=kind)
-        self._node.metrics.set_store_state(not self._failing)
+        self._note_store()
 
     def _note_failure(self, kind, error):
         if kind not in self._failing:
             self._failing.add(kind)
             self._node.log.believe("store_lost", kind=kind, reason=str(error))
         self._node.catalog.note_outage(now_ms())
-        self._node.metrics.set_store_state(False)
+        self._note_store()
+
+    def _note_store(self):
+        self._node.is_store_answering = not self._failing
+        self._node.metrics.set_store_state(not self._failing)
 
     async def _take_hosts(self):
         own = self._node.membership.own
