--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/callers.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/callers.py
@@ -48,10 +48,10 @@
         self._reader = LineReader(stream, b"\r\n", MAX_LINE_BYTES)
 
     @classmethod
-    async def connect(cls, port, database, timeout_s=3.0):
+    async def connect(cls, port, database, timeout_s=3.0, host="127.0.0.1"):
         """Open a session; raise `ConnectionRefusedError` with the error line."""
         with anyio.fail_after(timeout_s):
-            stream = await anyio.connect_tcp("127.0.0.1", port)
+            stream = await anyio.connect_tcp(host, port)
             caller = cls(stream)
             await stream.send(f"CONNECT {database} test\r\n".encode())
             line = await caller.line()
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -191,7 +191,7 @@
             return
         spec = {
             "service": "svc",
-            "address": database.address,
+            "address": getattr(database, "published_address", database.address),
             "zone": database.zone,
             "version": "v1",
             "slots": database.slots,
