Keep the ranks of databases until membership or catalog change

Ruled out: slower loops (they notice a lost primary). Change: ranks are kept while both versions stay.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -85,6 +85,8 @@
         self._controls = {}
         self.new_service_listeners = []
         self._suspected_until_ms = {}
+        self._ranks = {}
+        self._ranked_at = None
 
     async def run(self):
         """Run until cancelled."""
@@ -331,7 +333,21 @@
     # Databases
 
     def rank(self, instance):
-        """Return the nodes that may own a database, best first."""
+        """Return the nodes that may own a database, best first.
+
+        Kept until membership or catalog change, since every loop that watches a
+        service asks for it.
+        """
+        versions = self.membership.version, self.catalog.version
+        if versions != self._ranked_at:
+            self._ranked_at = versions
+            self._ranks.clear()
+        ranked = self._ranks.get(instance)
+        if ranked is None:
+            ranked = self._ranks[instance] = self._rank(instance)
+        return ranked
+
+    def _rank(self, instance):
         copy = self.catalog.find(instance)
         if copy is None:
             return []
