Roll back a transaction whose first answer was lost; read a claim back

Read alongside: a claim's time counted from its answer, not from its write, so that a slow answer brought it close to the time at which others take over. Ruled out: the checks (a statement ran on both connections, as the history shows). Change: a transaction whose first statement was sent is rolled back and said to be not run; a claim without an answer is read back by its mark; its time counts from before the write.

--- a/packages/bronzescale-core/src/bronzescale_core/work.py
+++ b/packages/bronzescale-core/src/bronzescale_core/work.py
@@ -239,6 +239,5 @@
         return True
     if answer.reach is Reach.ANSWERED and answer.outcome in NOT_RUN_OUTCOMES:
         return True
-    # An open transaction that nobody can reach again is rolled back.
-    is_open = work.step in (WorkStep.OPEN, WorkStep.OPEN_AND_COMMIT)
-    return is_open or not work.is_write
+    # A transaction whose first statement ran stays where that ran, or is rolled back.
+    return work.step is WorkStep.SINGLE and not work.is_write
--- a/packages/bronzescale-core/tests/test_fleet_core.py
+++ b/packages/bronzescale-core/tests/test_fleet_core.py
@@ -280,6 +280,13 @@
             self.assertFalse(may_run_elsewhere(self.work(step), answer))
 
     def test_a_transaction_that_could_not_open_opens_elsewhere(self):
+        for reach in (Reach.NOT_SENT, Reach.REFUSED):
+            answer = WorkAnswer(Outcome.BUSY, reach)
+            work = self.work(WorkStep.OPEN, is_write=True)
+            self.assertTrue(may_run_elsewhere(work, answer))
+
+    def test_a_transaction_whose_first_statement_was_sent_does_not(self):
+        """Its statements would run on two connections (soak, seeds 13 and 14)."""
         answer = WorkAnswer(Outcome.UNKNOWN, Reach.SENT)
-        work = self.work(WorkStep.OPEN, is_write=True)
-        self.assertTrue(may_run_elsewhere(work, answer))
+        for step in (WorkStep.OPEN, WorkStep.OPEN_AND_COMMIT):
+            self.assertFalse(may_run_elsewhere(self.work(step), answer))
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -20,6 +20,7 @@
 from bronzescale_proxy import wire
 from bronzescale_proxy.exceptions import (
     PeerUnavailableError,
+    StoreConflictError,
     StoreError,
     UpstreamUnavailableError,
 )
@@ -202,8 +203,9 @@
         candidates = await self._survey()
         if not any(c.instance != trigger.primary for c in candidates):
             raise UpstreamUnavailableError("no copy that could take over answers")
-        claim = await self._claim(trigger, candidates)
+        # Counted from before the write, as others count from when they see it.
         expires_ms = now_ms() + CLAIM_LASTS_MS
+        claim = await self._claim(trigger, candidates)
         if trigger.cause is Cause.LEAVING:
             await self._catch_up(trigger.primary, claim.term)
         paused = await self._fence(trigger.primary, claim.term)
@@ -251,7 +253,15 @@
             version=known.version if known is not None else 0,
         )
         self._keeper.lead.revoke()
-        return await self._node.write_state(claim)
+        try:
+            return await self._node.write_state(claim)
+        except StoreConflictError:
+            raise
+        except StoreError:
+            known = await self._read_back()
+            if known is None or known.nonce != claim.nonce:
+                raise
+            return known
 
     async def _catch_up(self, primary, term):
         """End the old primary's lead and wait until a copy holds its whole log."""
--- a/tests/test_fleet_runtime.py
+++ b/tests/test_fleet_runtime.py
@@ -418,6 +418,27 @@
             world.platform.faults.is_down = False
             await world.until(lambda: is_replaced(world))
 
+    @in_loop
+    async def test_a_claim_whose_answer_was_lost_is_read_back(self):
+        """Its driver goes on; nobody waits for it to be taken over (soak, seed 14)."""
+        async with running_world() as world:
+            world.platform.faults.lose_writes = 1
+            world.group.databases["d1"].is_leaving = True
+            took_s = await world.until(lambda: is_replaced(world), 15)
+            self.assertLess(took_s, 4.5)
+
+    @in_loop
+    async def test_a_transaction_is_not_begun_twice_when_an_answer_is_lost(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("lead")
+            self.assertTrue((await caller.query("READ x")).is_done)
+            await caller.query("BEGIN")
+            primary_of(world).lose_next_answers = 1
+            answer = await caller.query("READ x")
+            self.assertEqual(("ABORTED", "E"), (answer.code, answer.state))
+            runs = [e for e in world.group.history if e.request_id == answer.request_id]
+            self.assertEqual(["read", "lost"], [e.kind for e in runs])
+
     @in_loop
     async def test_a_change_that_its_driver_left_open_is_finished(self):
         async with running_world() as world:
