--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -1,12 +1,9 @@
 """Know the fleet, the configuration and the databases of one node."""
 
-import logging
-
 import anyio
 
 from bronzescale_core.catalog import Catalog
 from bronzescale_core.groups import Phase, dump_group, load_group
-from bronzescale_core.objects import StoreObject
 from bronzescale_core.rendezvous import rank_nodes
 from bronzescale_proxy import wire
 from bronzescale_proxy.exceptions import PeerUnavailableError
@@ -15,8 +12,6 @@
 from bronzescale_proxy.fleet.lead import LeadKeeper
 from bronzescale_proxy.fleet.owner import CopyOwner
 
-logger = logging.getLogger("bronzescale.node")
-
 CONFIGURATION = "configuration"
 UPSTREAMS = "upstreams"
 HOSTS = "hosts"
@@ -464,7 +459,3 @@
             if is_resting and not self.is_first(owner.copy.instance):
                 self._owners.pop(owner.copy.instance, None)
                 owner.close()
-
-    def tombstone(self, kind, name, version):
-        """Return the record of a deleted object."""
-        return StoreObject(kind, name, version, None)
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
@@ -8,6 +8,13 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
+from bronzescale_platform.objects import (
+    HOLDER_HEADER,
+    OBJECTS_PATH,
+    PROMOTE_PATH,
+    TOKEN_HEADER,
+)
+
 HISTORY_LIMIT = 1_000
 
 
@@ -44,12 +51,12 @@
 
     def app(self):
         """Return the ASGI application."""
-        path = "/-/objects/{kind}"
+        path = OBJECTS_PATH + "/{kind}"
         return Starlette(
             routes=[
                 Route(path, self._collection, methods=["GET", "POST"]),
                 Route(path + "/{name}", self._single, methods=["GET", "PUT", "DELETE"]),
-                Route("/promote", self._promote, methods=["POST"]),
+                Route(PROMOTE_PATH, self._promote, methods=["POST"]),
             ]
         )
 
@@ -192,8 +199,8 @@
             return JSONResponse({"error": "down"}, 503)
         document = await request.json()
         group = self.groups[document["service"]]
-        token = int(request.headers["Fence-Token"])
-        holder = request.headers["Duty-Holder"]
+        token = int(request.headers[TOKEN_HEADER])
+        holder = request.headers[HOLDER_HEADER]
         is_taken = await group.promote(document["id"], holder, token)
         return JSONResponse({}, 200 if is_taken else 409)
 
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -24,9 +24,10 @@
 import cyclopts
 from cyclopts import Parameter
 
+from bronzescale_standins.fleet.callers import LineCaller
 from bronzescale_standins.fleet.soak_callers import SoakCaller
 from bronzescale_standins.fleet.soak_faults import FAULTS
-from bronzescale_standins.fleet.soak_history import check
+from bronzescale_standins.fleet.soak_history import Violation, check
 from bronzescale_standins.fleet.world import ZONES, World, _run_with_status
 from bronzescale_standins.links import Forwarder, LinkTable
 
@@ -192,8 +193,6 @@
 
     async def _until_serving(self, step):
         """Wait until every node serves a read and a save."""
-        from bronzescale_standins.fleet.soak_history import Violation
-
         for member in self.members:
             member.start()
         deadline_s = time.monotonic() + RECOVERY_S
@@ -207,8 +206,6 @@
         return None
 
     async def _serves(self, member):
-        from bronzescale_standins.fleet.callers import LineCaller
-
         try:
             caller = await LineCaller.connect(
                 member.caller_port, "lead", timeout_s=1, host=member.host
