Eject databases that fail in part, and read one clock everywhere

Cause: (1) frames between nodes were decoded on the monotonic clock while leases and deadlines use the clock since boot. After a suspension the two differ: a relayed read would seem to have arrived earlier by the suspended time, so that a head sampled before its arrival counted as fresh, and deadlines were off by as much. (2) A database that fails two statements in five kept its share of reads, since each node forgot a failure after 500 ms and sees few statements; a read that hung was only given up at its deadline. (3) Every connection, resting callers included, was probed by TCP keep-alive each second.

Ruled out: ejection at the nodes that choose (86 nodes see 2.5 statements a second and service each, too few to tell); a hedge for each read (doubles load when slots are short).

Change: one clock module, CLOCK_BOOTTIME, for the whole proxy. The owner of a database, who sees all of its statements, counts outcomes and tells with each answer until when others are better; at least half of the copies stay in use. Reads are given up after eight usual service times (at least 400 ms) if another copy can still be asked. Answers carry the service time, so that a slow database costs what it takes. Keep-alive by kind of connection: 1 s to databases, 15 s between nodes, 30 s to callers.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	$(BIN)/python -m bronzescale_standins.bench $(ARGS)
 
 thrift:
+	mkdir -p build
 	thrift --gen py:slots -out build packages/bronzescale-proxy/peer.thrift
 	cp build/peer/ttypes.py packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/
 
--- /dev/null
+++ b/packages/bronzescale-core/src/bronzescale_core/outliers.py
@@ -0,0 +1,108 @@
+"""Eject a database whose statements fail while it looks healthy (outlier ejection).
+
+The owner of a database sees every statement that runs there, so it alone keeps the
+count and tells it with each answer; the nodes that choose a database obey the word
+as far as enough other databases remain.
+"""
+
+# A failure counts half after this time, so that one bad second is soon forgotten.
+HALF_LIFE_MS = 2_000
+# Fewer failures may be chance; one read in a hundred is slow for good reasons.
+MIN_FAILURES = 3.0
+# An answer in ten that is lost costs more than the way to another database.
+MAX_FAILURE_SHARE = 0.1
+# As long as a short disturbance; doubled each time, up to the long ones.
+FIRST_EJECTION_MS = 1_000
+MAX_EJECTION_MS = 8_000
+
+
+class OutcomeTracker:
+    """Recent outcomes of one database and the ejection that they led to.
+
+    After an ejection the database is on probation: the first statements probe it, one
+    more failure ejects it for twice as long, and a calm half-life ends the probation.
+
+    Attributes
+    ----------
+    ejected_until_ms : int
+        Other databases are preferred until then.
+    """
+
+    def __init__(self):
+        self.ejected_until_ms = 0
+        self._failed = 0.0
+        self._total = 0.0
+        self._noted_at_ms = 0
+        self._next_ms = FIRST_EJECTION_MS
+        self._probation_ends_ms = 0
+
+    @property
+    def failure_share(self):
+        """Return the share of recent statements that failed."""
+        return self._failed / self._total if self._total else 0.0
+
+    def note(self, is_failed, now_ms):
+        """Take the outcome of one statement.
+
+        Parameters
+        ----------
+        is_failed : bool
+            Whether the database failed it, lost it or was silent.
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        bool
+            Whether the database is ejected by this outcome.
+        """
+        self._decay(now_ms)
+        self._total += 1
+        self._failed += is_failed
+        if not is_failed or now_ms < self.ejected_until_ms:
+            return False
+        is_on_probation = now_ms < self._probation_ends_ms
+        is_outlier = (
+            self._failed >= MIN_FAILURES and self.failure_share >= MAX_FAILURE_SHARE
+        )
+        if not (is_on_probation or is_outlier):
+            return False
+        self._eject(now_ms, is_on_probation)
+        return True
+
+    def _decay(self, now_ms):
+        kept = 0.5 ** ((now_ms - self._noted_at_ms) / HALF_LIFE_MS)
+        self._noted_at_ms = now_ms
+        self._failed *= kept
+        self._total *= kept
+
+    def _eject(self, now_ms, is_on_probation):
+        if not is_on_probation:
+            self._next_ms = FIRST_EJECTION_MS
+        self.ejected_until_ms = now_ms + self._next_ms
+        self._probation_ends_ms = self.ejected_until_ms + HALF_LIFE_MS
+        self._next_ms = min(MAX_EJECTION_MS, 2 * self._next_ms)
+        self._failed = self._total = 0.0
+
+
+def choose_avoided(ejected_until_ms, copies, now_ms):
+    """Return which ejected databases to avoid; at least half stay in use.
+
+    Parameters
+    ----------
+    ejected_until_ms : dict of str to int
+        When each database's ejection ends, as its owner said.
+    copies : collection of str
+        Every database that could serve.
+    now_ms : int
+        Current time.
+
+    Returns
+    -------
+    set of str
+        The ones that were ejected for longest; fewer than were ejected if too few
+        would be left.
+    """
+    ejected = [c for c in copies if ejected_until_ms.get(c, 0) > now_ms]
+    ejected.sort(key=lambda c: (-ejected_until_ms[c], c))
+    return set(ejected[: len(copies) // 2])
--- a/packages/bronzescale-core/src/bronzescale_core/work.py
+++ b/packages/bronzescale-core/src/bronzescale_core/work.py
@@ -200,6 +200,11 @@
         When coming back may help; 0 for at once.
     load : float
         Statements per slot at the database, running and waiting.
+    service_ms : float
+        How long a statement holds a slot there; 0 if that is not known.
+    ejected_until_ms : int
+        Other databases are better until then, since statements fail there; on the
+        clock of the node that holds the answer.
     is_unreachable : bool
         Whether another owner may reach the database.
     """
@@ -213,6 +218,8 @@
     transaction_id: int = NO_TRANSACTION
     retry_after_ms: int = 0
     load: float = 0.0
+    service_ms: float = 0.0
+    ejected_until_ms: int = 0
     is_unreachable: bool = False
 
 
--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -164,6 +164,8 @@
   9: i64 retry_after_ms,
   10: double load,
   11: bool is_unreachable,
+  12: i32 service_ms,
+  13: i32 ejected_for_ms,
 }
 
 union Body {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
@@ -21,7 +21,7 @@
 
 from bronzescale_core.exceptions import StatementError
 from bronzescale_proxy.caller_stream import BoundedStream
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.placeholders import fill_placeholders, split_placeholders
 from bronzescale_proxy.result_writers import (
     BinaryWriter,
@@ -99,7 +99,7 @@
         super().__init__(**options)
         self._server = server
         self.is_busy = False
-        self.used_at_ms = monotonic_ms()
+        self.used_at_ms = now_ms()
 
     async def connection_phase(self):
         """Let the caller log in before the login deadline."""
@@ -266,7 +266,7 @@
             await self._write_statement_error(error)
         finally:
             self.is_busy = False
-            self.used_at_ms = monotonic_ms()
+            self.used_at_ms = now_ms()
 
     def _update_status(self):
         flags = types.ServerStatus(0)
@@ -403,7 +403,7 @@
         under it would leave its caller to guess.
         """
         is_between = connection.stream.is_reading and not connection.is_busy
-        is_quiet = monotonic_ms() - connection.used_at_ms >= STOP_IDLE_MS
+        is_quiet = now_ms() - connection.used_at_ms >= STOP_IDLE_MS
         if not is_between or not is_quiet or connection.session.state.in_transaction:
             return
         transport = connection.stream.writer.transport
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/clock.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/clock.py
@@ -3,15 +3,18 @@
 import time
 
 
-def monotonic_ms():
-    """Return this node's monotonic clock.
+def now_ms():
+    """Return the clock of leases and deadlines, which counts suspended time.
+
+    Every deadline that crosses a connection is decoded on this clock, so that it can
+    be compared with leases.
 
     Returns
     -------
     int
-        Milliseconds since an arbitrary moment.
+        Milliseconds since boot.
     """
-    return time.monotonic_ns() // 1_000_000
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 def wall_ms():
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/dispatch.py
@@ -20,7 +20,7 @@
 from bronzescale_core.routing import Place, Router
 from bronzescale_core.statements import StatementKind
 from bronzescale_proxy import wire
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import AttemptFailedError, PeerUnavailableError
 
 logger = logging.getLogger("bronzescale.dispatch")
@@ -178,7 +178,7 @@
             If no live primary's term could be confirmed.
         """
         reason = "the primary is not known yet"
-        while monotonic_ms() < deadline_ms:
+        while now_ms() < deadline_ms:
             reply = await self._ask_head(service, deadline_ms)
             if reply is not None and reply.position is not None:
                 return reply.position
@@ -199,7 +199,7 @@
             (u for u in declared.upstreams if u.name == state.primary), None
         )
         for owner in self._owners_of(upstream) if upstream else ():
-            remaining_s = max(0.0, (deadline_ms - monotonic_ms()) / 1_000)
+            remaining_s = max(0.0, (deadline_ms - now_ms()) / 1_000)
             try:
                 if owner is None:
                     return await answer_head(
@@ -224,7 +224,7 @@
             attempt.fail(AttemptFailedError(Progress.NOT_SENT, "no primary is known"))
             return None
         candidates = self._router.candidates(
-            request, self._node.upstreams(service), state.primary, monotonic_ms()
+            request, self._node.upstreams(service), state.primary, now_ms()
         )
         for candidate in candidates:
             routed = self._route(request, candidate, service, attempt)
@@ -239,12 +239,12 @@
         return None
 
     def _route(self, request, candidate, service, attempt):
-        now_ms = monotonic_ms()
+        at_ms = now_ms()
         may_wait = candidate.may_wait and not attempt.was_behind
         wait_ms = service.replica_wait_ms if may_wait else 0
         return request._replace(
             upstream=candidate.upstream.name,
-            wait_until_ms=min(request.deadline_ms, now_ms + wait_ms),
+            wait_until_ms=min(request.deadline_ms, at_ms + wait_ms),
         )
 
     async def _try_owners(self, upstream, request, collector, opener, attempt):
@@ -324,7 +324,7 @@
         await self._send_remote(owner, request, collector)
 
     async def _send_remote(self, owner, request, collector):
-        remaining_s = (request.deadline_ms - monotonic_ms()) / 1_000 + WIRE_SLACK_S
+        remaining_s = (request.deadline_ms - now_ms()) / 1_000 + WIRE_SLACK_S
         progress = Progress.NOT_SENT
         try:
             with anyio.fail_after(max(0.0, remaining_s)):
@@ -378,7 +378,7 @@
         if error.is_overloaded:
             self._refuse_overload(attempt, error)
             return
-        self._router.penalise(upstream.name, monotonic_ms())
+        self._router.penalise(upstream.name, now_ms())
         was_sent = error.progress is Progress.SENT
         if was_sent and not self._budget.withdraw():
             raise NotRunError(
@@ -399,7 +399,7 @@
 
     async def _pause(self, attempt):
         """Wait for something to change before the next round, or give up."""
-        remaining_ms = attempt.request.deadline_ms - monotonic_ms()
+        remaining_ms = attempt.request.deadline_ms - now_ms()
         pause_s = min(RETRY_PAUSE_MAX_S, RETRY_PAUSE_S * 2**attempt.rounds)
         attempt.rounds += 1
         if remaining_ms <= pause_s * 1_000:
@@ -535,7 +535,7 @@
     -------
     HeadReply
     """
-    asked_at_ms = monotonic_ms()
+    asked_at_ms = now_ms()
     state = node.state(request.service)
     if state is None:
         return wire.HeadReply(None, "the service is not known here yet")
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/dump.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/dump.py
@@ -1,7 +1,7 @@
 """Build the dump of this process's state."""
 
 from bronzescale_core.membership import Status
-from bronzescale_proxy.clock import monotonic_ms, wall_ms
+from bronzescale_proxy.clock import now_ms, wall_ms
 from bronzescale_proxy.traces import to_plain
 
 
@@ -69,7 +69,7 @@
 
 def _dump_group(group):
     state = group.state
-    now_ms = monotonic_ms()
+    at_ms = now_ms()
     head = group.heads.newest()
     return {
         "service": state.service,
@@ -81,10 +81,10 @@
         "step": group.step.value,
         "waiting_saves": group.waiting_saves,
         "head": to_plain(head) if head else None,
-        "head_age_ms": now_ms - head.valid_at_ms if head else None,
-        "copies": [_dump_copy(group, watch, now_ms) for watch in group.watches()],
+        "head_age_ms": at_ms - head.valid_at_ms if head else None,
+        "copies": [_dump_copy(group, watch, at_ms) for watch in group.watches()],
         "steps": [
-            {"ago_ms": now_ms - at_ms, "step": note.step.value, "text": note.text}
+            {"ago_ms": at_ms - at_ms, "step": note.step.value, "text": note.text}
             for at_ms, note in group.steps
         ],
     }
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -10,7 +10,7 @@
 from bronzescale_core.membership import Membership
 from bronzescale_core.rendezvous import Node
 from bronzescale_proxy import wire
-from bronzescale_proxy.fleet.clock import now_ms, wall_ms
+from bronzescale_proxy.clock import now_ms, wall_ms
 from bronzescale_proxy.fleet.dispatch import Dispatcher
 from bronzescale_proxy.fleet.entry import CallerServer
 from bronzescale_proxy.fleet.node import FleetNode
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
@@ -12,8 +12,8 @@
     may_run_elsewhere,
 )
 from bronzescale_proxy import wire
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
-from bronzescale_proxy.fleet.clock import now_ms
 
 # An owner answers this much after the deadline at the latest.
 RELAY_SLACK_MS = 250
@@ -81,7 +81,7 @@
     async def run_in_transaction(self, work, opener, owner):
         """Run a statement of an open transaction where it lives."""
         answer = await self._send(work, opener, owner)
-        self._placement.note_load(work.upstream, answer.load, now_ms())
+        self._note_upstream(work.upstream, answer)
         return answer
 
     async def end_transaction(self, upstream, transaction_id, owner):
@@ -127,7 +127,7 @@
         for copy in self._candidates(work):
             routed = work._replace(upstream=copy.instance)
             answer, owner = await self._try_owners(routed, opener)
-            self._placement.note_load(copy.instance, answer.load, now_ms())
+            self._note_upstream(copy.instance, answer)
             outcome = answer, copy.instance, owner
             if answer.outcome is Outcome.DONE:
                 return outcome
@@ -157,6 +157,15 @@
             answer = WorkAnswer(Outcome.BUSY, Reach.NOT_SENT, "no node can reach it")
         return answer, owner
 
+    def _note_upstream(self, instance, answer):
+        """Take the owner's word on a database's load and health."""
+        if answer.service_ms:
+            self._placement.note_load(
+                instance, answer.load, answer.service_ms, now_ms()
+            )
+        if answer.ejected_until_ms:
+            self._placement.note_ejection(instance, answer.ejected_until_ms)
+
     def _note_failure(self, work, answer, owner):
         is_full = answer.outcome is Outcome.BUSY and answer.retry_after_ms
         if answer.outcome is not Outcome.BEHIND and not is_full:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/entry.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/entry.py
@@ -22,9 +22,14 @@
     Work,
     WorkStep,
 )
-from bronzescale_proxy.fleet.clock import now_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.fleet.dispatch import is_final_step
-from bronzescale_proxy.fleet.streams import LineReader, LineTooLongError, tune_stream
+from bronzescale_proxy.fleet.streams import (
+    CALLER_KEEPALIVE_S,
+    LineReader,
+    LineTooLongError,
+    tune_stream,
+)
 
 # A caller that has not named its database by then is closed.
 CONNECT_WITHIN_S = 5.0
@@ -119,7 +124,7 @@
 
     async def run(self):
         """Serve the caller until it leaves or breaks the protocol."""
-        tune_stream(self._stream)
+        tune_stream(self._stream, CALLER_KEEPALIVE_S)
         with anyio.move_on_after(CONNECT_WITHIN_S):
             if not await self._greet():
                 return
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -19,12 +19,12 @@
     copies_prove_lead,
 )
 from bronzescale_proxy import wire
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     PeerUnavailableError,
     StoreUnavailableError,
     UpstreamUnavailableError,
 )
-from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.control import probe_outcome
 
 # A keeper goes on probing this long after its last use.
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/logs.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/logs.py
@@ -6,7 +6,7 @@
 import sys
 from collections import deque
 
-from bronzescale_proxy.fleet.clock import now_ms, wall_ms
+from bronzescale_proxy.clock import now_ms, wall_ms
 
 # Lines kept for a slow reader of the output; later ones are counted and dropped.
 MAX_PENDING_LINES = 2_000
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -6,8 +6,8 @@
 from bronzescale_core.groups import Phase, dump_group, load_group
 from bronzescale_core.rendezvous import rank_nodes
 from bronzescale_proxy import wire
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
-from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.control import CopyControl
 from bronzescale_proxy.fleet.lead import LeadKeeper
 from bronzescale_proxy.fleet.owner import CopyOwner
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -10,6 +10,7 @@
 )
 from bronzescale_core.codec import IDLE
 from bronzescale_core.leadership import floor_for
+from bronzescale_core.outliers import OutcomeTracker
 from bronzescale_core.positions import ORIGIN
 from bronzescale_core.work import (
     NO_AGE_LIMIT,
@@ -20,8 +21,8 @@
     WorkAnswer,
     WorkStep,
 )
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
-from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.pool import LinkPool
 
 # Statements that may wait for the slots of one database.
@@ -32,9 +33,16 @@
 PROOF_MARGIN_MS = 20
 # A resting transaction outlives the caller's own limit by this much at the owner.
 IDLE_SLACK_MS = 1_000
+# A database that takes this many times its usual time has lost the statement.
+PATIENCE_FACTOR = 8
+# The longest statements of known workloads take 300 ms when slots are free.
+MIN_PATIENCE_MS = 400
 # When to come back after a failure that a change of primary will end.
 RETRY_AFTER_FAILURE_MS = 300
 
+# Answers that a sound database with a bounded number of statements does not give.
+_FAULTS = frozenset((Outcome.FAILED, Outcome.TIMEOUT, Outcome.BUSY))
+
 
 class _Transaction:
     """An open transaction and the connection that holds it."""
@@ -72,6 +80,7 @@
         self._waiting = {}
         self._transactions = {}
         self._next_number = 1
+        self._outcomes = OutcomeTracker()
         self.used_at_ms = now_ms()
 
     @property
@@ -113,7 +122,11 @@
             answer = await self._run_in_transaction(work)
         else:
             answer = await self._run_admitted(work, opener)
-        return answer._replace(load=round(self.load, 2))
+        return answer._replace(
+            load=round(self.load, 2),
+            service_ms=self._queue.service_time_ms,
+            ejected_until_ms=self._outcomes.ejected_until_ms,
+        )
 
     async def warm_up(self):
         """Open a connection for each slot before statements need them."""
@@ -277,14 +290,16 @@
             reason = f"{self.copy.instance} is not proven to lead"
             return _not_sent(reason, Outcome.BUSY, is_unreachable=True)
         link = None
+        until_ms = self._patience_ends_ms(work, now_ms())
         try:
-            with anyio.fail_after(max(0.001, (work.deadline_ms - now_ms()) / 1_000)):
+            with anyio.fail_after(max(0.001, (until_ms - now_ms()) / 1_000)):
                 link = await self._take_link(work)
         except UpstreamUnavailableError as error:
             outcome = getattr(error, "outcome", Outcome.BUSY)
             is_gone = outcome in (Outcome.BUSY, Outcome.WRONG_INSTANCE)
             return _not_sent(str(error), Outcome.BUSY, is_unreachable=is_gone)
         except TimeoutError:
+            self._note_outcome(True)
             return _not_sent("no connection became free in time", Outcome.BUSY)
         if work.step is WorkStep.SINGLE:
             try:
@@ -363,20 +378,44 @@
             except UpstreamUnavailableError as error:
                 return _not_sent(str(error), Outcome.ABORTED)
         sent_at_ms = now_ms()
+        until_ms = self._patience_ends_ms(work, sent_at_ms)
         try:
-            with anyio.fail_after(max(0.001, (work.deadline_ms - sent_at_ms) / 1_000)):
+            with anyio.fail_after(max(0.001, (until_ms - sent_at_ms) / 1_000)):
                 reply = await link.run(work.request_id, text)
         except UpstreamUnavailableError as error:
+            self._note_outcome(True)
             return WorkAnswer(
                 Outcome.UNKNOWN, Reach.SENT, str(error), is_unreachable=True
             )
         except TimeoutError:
+            self._note_outcome(True)
             link.is_usable = False
             return WorkAnswer(
                 Outcome.TIMEOUT, Reach.SENT, "the database did not answer in time"
             )
+        self._note_outcome(reply.outcome in _FAULTS)
         return self._answer(work, reply, sent_at_ms)
 
+    def _patience_ends_ms(self, work, sent_at_ms):
+        """Return until when to wait for an answer; a read may still go elsewhere."""
+        if work.is_write or work.needs_lead or work.step is not WorkStep.SINGLE:
+            return work.deadline_ms
+        patience_ms = max(
+            MIN_PATIENCE_MS, PATIENCE_FACTOR * self._queue.service_time_ms
+        )
+        is_time_for_another = sent_at_ms + 2 * patience_ms < work.deadline_ms
+        return sent_at_ms + patience_ms if is_time_for_another else work.deadline_ms
+
+    def _note_outcome(self, is_failed):
+        """Count an outcome; a database whose statements fail is told to be avoided."""
+        if self._outcomes.note(is_failed, now_ms()):
+            self._node.log.believe(
+                "upstream_ejected",
+                service=self.copy.service,
+                upstream=self.copy.instance,
+                for_ms=self._outcomes.ejected_until_ms - now_ms(),
+            )
+
     def _answer(self, work, reply, sent_at_ms):
         self._keeper.note_answer(self.copy.instance)
         if self.copy.instance == self._keeper.primary and reply.is_done:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
@@ -3,8 +3,8 @@
 import anyio
 
 from bronzescale_core.work import Outcome
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
-from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.upstream import open_link
 
 # Databases close connections that rest for a minute; drop them somewhat earlier.
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -18,13 +18,13 @@
     next_term,
 )
 from bronzescale_proxy import wire
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     PeerUnavailableError,
     StoreConflictError,
     StoreError,
     UpstreamUnavailableError,
 )
-from bronzescale_proxy.fleet.clock import now_ms
 
 CHECK_INTERVAL_S = 0.1
 # A probe at the other watcher and the way there and back.
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -9,13 +9,13 @@
 )
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_proxy import wire
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     HistoryGoneError,
     PeerUnavailableError,
     StoreConflictError,
     StoreError,
 )
-from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.node import (
     CONFIGURATION,
     GROUPS,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/streams.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/streams.py
@@ -9,9 +9,13 @@
 
 # The kernel gives up on unacknowledged data after this time.
 USER_TIMEOUT_MS = 2_500
-# Idle connections that went silent are noticed within 1 + 2 x 1 s.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
+# A resting connection to a database that went silent is noticed within 3 s.
+UPSTREAM_KEEPALIVE_S = 1
+# Requests notice a silent node by themselves; this only frees what it left behind.
+PEER_KEEPALIVE_S = 15
+# Thousands of sessions rest; each probe costs a packet both ways, and a dead caller
+# holds nothing but memory, since its transactions end by their own limit.
+CALLER_KEEPALIVE_S = 30
 KEEPALIVE_PROBES = 2
 ACCEPT_BACKLOG = 1_024
 READ_BYTES = 65_536
@@ -60,16 +64,24 @@
     host, port = split_address(address)
     with anyio.fail_after(timeout_s):
         stream = await anyio.connect_tcp(host, port)
-    tune_stream(stream)
+    tune_stream(stream, UPSTREAM_KEEPALIVE_S)
     return stream
 
 
-def tune_stream(stream):
-    """Set the bounds on silence."""
+def tune_stream(stream, keepalive_s):
+    """Set the bounds on silence.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+        The stream.
+    keepalive_s : int
+        Pause before and between probes of a resting connection.
+    """
     raw = stream.extra(SocketAttribute.raw_socket)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, keepalive_s)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, keepalive_s)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
@@ -8,8 +8,8 @@
 from bronzescale_core.codec import IDLE, Done, Failed, Ready, Row
 from bronzescale_core.positions import ORIGIN, Position
 from bronzescale_core.work import Outcome
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
-from bronzescale_proxy.fleet.clock import now_ms
 from bronzescale_proxy.fleet.streams import (
     LineReader,
     LineTooLongError,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/group.py
@@ -16,7 +16,7 @@
 from bronzescale_core.groups import Phase, dump_group, majority
 from bronzescale_core.heads import HeadTracker
 from bronzescale_proxy import orders
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     StoreConflictError,
     StoreUnavailableError,
@@ -197,7 +197,7 @@
 
     def is_stalled(self):
         """Return whether replicas stopped confirming saves."""
-        return self._tracker.is_stalled(monotonic_ms())
+        return self._tracker.is_stalled(now_ms())
 
     async def confirm(self, position, until_ms):
         """Wait until a save may be acknowledged.
@@ -214,13 +214,13 @@
         Confirmed, Superseded or None
             None when the time ran out.
         """
-        save_id, is_confirmed = self._tracker.add(position, monotonic_ms())
+        save_id, is_confirmed = self._tracker.add(position, now_ms())
         if is_confirmed:
             return Confirmed(save_id)
         event = anyio.Event()
         self._pending[save_id] = event
         try:
-            with anyio.move_on_after(max(0, until_ms - monotonic_ms()) / 1_000):
+            with anyio.move_on_after(max(0, until_ms - now_ms()) / 1_000):
                 await event.wait()
         finally:
             outcome = self._pending.pop(save_id)
@@ -246,7 +246,7 @@
             head = self._heads.newest()
             if head is not None and head.valid_at_ms >= since_ms:
                 return head
-            if monotonic_ms() >= until_ms:
+            if now_ms() >= until_ms:
                 return None
             async with self._head_lock:
                 head = self._heads.newest()
@@ -267,7 +267,7 @@
                 if head is not None and head.valid_at_ms >= asked_at_ms:
                     tasks.cancel_scope.cancel()
 
-        asked_at_ms = monotonic_ms()
+        asked_at_ms = now_ms()
         with anyio.move_on_after(max(0, until_ms - asked_at_ms) / 1_000):
             async with anyio.create_task_group() as tasks:
                 for watch in self._watches.values():
@@ -350,9 +350,9 @@
 
     def _drive(self, event):
         before = self.state
-        now_ms = monotonic_ms()
-        actions = self._machine.handle(event, now_ms)
-        self._environment.trace(self.service.name, event, actions, now_ms)
+        at_ms = now_ms()
+        actions = self._machine.handle(event, at_ms)
+        self._environment.trace(self.service.name, event, actions, at_ms)
         for action in actions:
             self._carry_out(action)
         if not isinstance(event, f.GroupObserved):
@@ -385,7 +385,7 @@
 
     @_carry_out.register
     def _(self, action: f.NoteStep):
-        self.steps = [*self.steps[-63:], (monotonic_ms(), action)]
+        self.steps = [*self.steps[-63:], (now_ms(), action)]
         logger.info("group: %s %s: %s.", action.service, action.step.value, action.text)
 
     @_carry_out.register
@@ -501,8 +501,8 @@
             report = watch.report
             is_strayed = report.role != "replica" or report.promised_term < state.term
             last_ms = self._repaired_at_ms.get(name, 0)
-            if is_strayed and monotonic_ms() - last_ms >= REPAIR_INTERVAL_MS:
-                self._repaired_at_ms[name] = monotonic_ms()
+            if is_strayed and now_ms() - last_ms >= REPAIR_INTERVAL_MS:
+                self._repaired_at_ms[name] = now_ms()
                 logger.info("group: %s rejoins under term %d.", name, state.term)
                 self._tasks.start_soon(
                     self._follow, f.FollowCopy(name, state.term, state.primary)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -11,7 +11,7 @@
 from bronzescale_core.objects import ObjectCache, StoreObject
 from bronzescale_core.rendezvous import rank_nodes
 from bronzescale_proxy import wire
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     PeerUnavailableError,
     StoreConflictError,
@@ -296,7 +296,7 @@
             service, upstream_name
         )
         if owner is not None:
-            owner.used_at_ms = monotonic_ms()
+            owner.used_at_ms = now_ms()
         return owner
 
     def _make_owner(self, service, upstream_name):
@@ -408,7 +408,7 @@
 
     def _drop_owners(self):
         """Close owners that another node ranks above and that are idle here."""
-        now_ms = monotonic_ms()
+        at_ms = now_ms()
         for name, owner in list(self._owners.items()):
             owner.end_idle_transactions()
             service = self._declared_service_of(owner)
@@ -417,7 +417,7 @@
             if not owner.is_idle:
                 continue
             owner.pool.close_idle()
-            if service is None or now_ms - owner.used_at_ms > OWNER_IDLE_MS:
+            if service is None or at_ms - owner.used_at_ms > OWNER_IDLE_MS:
                 owner.close()
                 del self._owners[name]
                 self._release_watch(owner)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/orders.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/orders.py
@@ -4,7 +4,7 @@
 
 from bronzescale_core.acknowledgement import CopyReport
 from bronzescale_core.exceptions import UpstreamStatementError
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
 
 ORDER_TIMEOUT_S = 1.0
@@ -103,7 +103,7 @@
 
 
 async def _ask(connection, upstream, sql):
-    sent_at_ms = monotonic_ms()
+    sent_at_ms = now_ms()
     rows = await connection.run(sql)
     role, promised_term, log_term, received, applied = rows[0][0].split()
     return CopyReport(
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -22,7 +22,7 @@
     StatementKind,
 )
 from bronzescale_proxy import orders
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     AttemptFailedError,
     PermitUnavailableError,
@@ -56,7 +56,7 @@
         self.is_replica = is_replica
         self.opener = opener
         self.lock = anyio.Lock()
-        self.used_at_ms = monotonic_ms()
+        self.used_at_ms = now_ms()
 
 
 class DatabaseOwner:
@@ -82,7 +82,7 @@
         self._pool = ConnectionPool(
             group.connector(upstream),
             plan_permits(upstream.max_connections).work,
-            monotonic_ms,
+            now_ms,
         )
         self._queue = AdmissionQueue(upstream.slots, group.service.max_queued)
         self._queued = {}
@@ -144,9 +144,9 @@
 
     def end_idle_transactions(self):
         """Roll back transactions that nobody used for long."""
-        now_ms = monotonic_ms()
+        at_ms = now_ms()
         for transaction in list(self._transactions.values()):
-            if now_ms - transaction.used_at_ms > TRANSACTION_IDLE_MS:
+            if at_ms - transaction.used_at_ms > TRANSACTION_IDLE_MS:
                 logger.info("owner: rolled back an idle transaction.")
                 self.end_transaction(transaction.transaction_id)
 
@@ -216,9 +216,9 @@
         max_age_ms = request.consistency.max_age_ms
         age_ms = self._age_ms(watch)
         if age_ms is None or age_ms > max_age_ms:
-            now_ms = monotonic_ms()
-            until_ms = min(request.deadline_ms, now_ms + AGE_SAMPLE_WAIT_MS)
-            await self._group.confirmed_head(now_ms - max_age_ms, until_ms)
+            at_ms = now_ms()
+            until_ms = min(request.deadline_ms, at_ms + AGE_SAMPLE_WAIT_MS)
+            await self._group.confirmed_head(at_ms - max_age_ms, until_ms)
             age_ms = self._age_ms(watch)
         if age_ms is None or age_ms > max_age_ms:
             text = "unknown" if age_ms is None else f"{age_ms} ms"
@@ -232,11 +232,11 @@
         if watch.report is None:
             return None
         applied = watch.report.applied_position
-        return self._group.heads.age_ms(applied, monotonic_ms())
+        return self._group.heads.age_ms(applied, now_ms())
 
     async def _require_confirmed_primary(self, request):
         self._require_primary()
-        until_ms = min(request.deadline_ms, monotonic_ms() + HEAD_WAIT_MS)
+        until_ms = min(request.deadline_ms, now_ms() + HEAD_WAIT_MS)
         head = await self._group.confirmed_head(request.arrived_at_ms, until_ms)
         if head is None or head.position.term != self._state().term:
             raise self._not_sent("no replica confirms the primary's term")
@@ -281,9 +281,9 @@
         if position == ORIGIN:
             await self._require_confirmed_primary(request)
             return
-        started_ms = monotonic_ms()
+        started_ms = now_ms()
         outcome = await self._group.confirm(position, request.deadline_ms)
-        self._metrics.timing("save.confirm_ms", monotonic_ms() - started_ms)
+        self._metrics.timing("save.confirm_ms", now_ms() - started_ms)
         if isinstance(outcome, Confirmed):
             return
         if isinstance(outcome, Superseded):
@@ -369,7 +369,7 @@
             )
         is_last = request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
         async with transaction.lock:
-            transaction.used_at_ms = monotonic_ms()
+            transaction.used_at_ms = now_ms()
             try:
                 await self._run_transaction_statement(transaction, request, send_part)
             except UpstreamStatementError:
@@ -468,7 +468,7 @@
         return AttemptFailedError(Progress.NOT_SENT, reason, retry_after_ms)
 
     def _remaining_s(self, request):
-        return max(0, request.deadline_ms - monotonic_ms()) / 1_000
+        return max(0, request.deadline_ms - now_ms()) / 1_000
 
     @asynccontextmanager
     async def _slot(self, request, work_class):
@@ -483,12 +483,12 @@
     @asynccontextmanager
     async def _admitted(self, request, work_class):
         ticket = await self._admit(request, work_class)
-        started_ms = monotonic_ms()
+        started_ms = now_ms()
         try:
             yield
         finally:
-            now_ms = monotonic_ms()
-            self._carry_out(self._queue.finish(ticket, now_ms - started_ms, now_ms))
+            at_ms = now_ms()
+            self._carry_out(self._queue.finish(ticket, at_ms - started_ms, at_ms))
 
     @contextmanager
     def _admitted_at_once(self, request):
@@ -496,11 +496,11 @@
         try:
             yield
         finally:
-            self._carry_out(self._queue.finish(ticket, None, monotonic_ms()))
+            self._carry_out(self._queue.finish(ticket, None, now_ms()))
 
     async def _admit(self, request, work_class):
-        now_ms = monotonic_ms()
-        decision = self._queue.offer(work_class, request.deadline_ms, now_ms)
+        at_ms = now_ms()
+        decision = self._queue.offer(work_class, request.deadline_ms, at_ms)
         if isinstance(decision, Refused):
             raise self._overloaded(decision)
         if isinstance(decision, Admitted):
@@ -513,7 +513,7 @@
         except BaseException:
             outcome = self._queued.pop(ticket.ticket_id)
             if isinstance(outcome, Admitted):
-                self._carry_out(self._queue.finish(ticket, None, monotonic_ms()))
+                self._carry_out(self._queue.finish(ticket, None, now_ms()))
             else:
                 self._queue.withdraw(ticket)
             raise
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -7,9 +7,9 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from bronzescale_proxy import wire
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
-from bronzescale_proxy.fleet.streams import tune_stream
+from bronzescale_proxy.fleet.streams import PEER_KEEPALIVE_S, tune_stream
 
 logger = logging.getLogger("bronzescale.peers")
 
@@ -45,7 +45,7 @@
         message : NamedTuple
             The message.
         """
-        frame = wire.encode(request_id, message, monotonic_ms())
+        frame = wire.encode(request_id, message, now_ms())
         self._counter("sent", message, len(frame))
         async with self._lock:
             await self._stream.send(frame)
@@ -73,7 +73,7 @@
             raise PeerUnavailableError("the peer closed the stream", True) from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise PeerUnavailableError("the stream to the peer broke", True) from error
-        request_id, message = wire.decode(payload, monotonic_ms())
+        request_id, message = wire.decode(payload, now_ms())
         self._counter("received", message, size_bytes + wire.HEADER.size)
         return request_id, message
 
@@ -99,7 +99,7 @@
         self._inboxes = {}
         self._next_id = 1
         self.is_open = True
-        self.used_at_ms = monotonic_ms()
+        self.used_at_ms = now_ms()
 
     async def pump(self):
         """Hand incoming messages to their requests until the stream ends."""
@@ -133,7 +133,7 @@
         """
         request_id = self._next_id
         self._next_id += 1
-        self.used_at_ms = monotonic_ms()
+        self.used_at_ms = now_ms()
         send_inbox, inbox = anyio.create_memory_object_stream(WINDOW_PARTS + 4)
         self._inboxes[request_id] = send_inbox
         exchange = PeerExchange(self, self._frames, request_id, inbox)
@@ -322,7 +322,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, int(port))
-                tune_stream(stream)
+                tune_stream(stream, PEER_KEEPALIVE_S)
         except (OSError, TimeoutError) as error:
             raise PeerUnavailableError(
                 f"cannot connect to {node.name} at {node.address}", False
@@ -379,6 +379,7 @@
         stream : anyio.abc.ByteStream
             The connection.
         """
+        tune_stream(stream, PEER_KEEPALIVE_S)
         frames = FrameStream(stream, self._counter)
         async with AsyncExitStack() as stack:
             stack.push_async_callback(frames.aclose)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/sessions.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/sessions.py
@@ -20,7 +20,7 @@
     parse_consistency,
 )
 from bronzescale_proxy.classify import classify
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 
 SETTING_PREFIX = "bronzescale_"
 _ASSIGNMENT = re.compile(
@@ -144,16 +144,16 @@
         self._answer_locally(statement, sql)
         settings = self._effective_settings(attributes)
         self._check_schema_version(settings)
-        now_ms = monotonic_ms()
+        at_ms = now_ms()
         request = StatementRequest(
             service=self.service,
             upstream="",
             sql=sql,
             kind=statement.kind,
             consistency=settings.consistency,
-            deadline_ms=now_ms + settings.deadline_after_ms,
+            deadline_ms=at_ms + settings.deadline_after_ms,
             request_key=settings.request_key,
-            arrived_at_ms=now_ms,
+            arrived_at_ms=at_ms,
         )
         if self._transaction is None and not self._is_lost:
             return await self._run_free(request, send_part)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -2326,6 +2326,8 @@
      - retry_after_ms
      - load
      - is_unreachable
+     - service_ms
+     - ejected_for_ms
 
     """
 
@@ -2341,10 +2343,12 @@
         'retry_after_ms',
         'load',
         'is_unreachable',
+        'service_ms',
+        'ejected_for_ms',
     )
 
 
-    def __init__(self, outcome=None, reach=None, reason=None, rows=None, receipt=None, term=None, offset=None, transaction_id=None, retry_after_ms=None, load=None, is_unreachable=None,):
+    def __init__(self, outcome=None, reach=None, reason=None, rows=None, receipt=None, term=None, offset=None, transaction_id=None, retry_after_ms=None, load=None, is_unreachable=None, service_ms=None, ejected_for_ms=None,):
         self.outcome = outcome
         self.reach = reach
         self.reason = reason
@@ -2356,6 +2360,8 @@
         self.retry_after_ms = retry_after_ms
         self.load = load
         self.is_unreachable = is_unreachable
+        self.service_ms = service_ms
+        self.ejected_for_ms = ejected_for_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2426,6 +2432,16 @@
                     self.is_unreachable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.service_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.ejected_for_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2483,6 +2499,14 @@
             oprot.writeFieldBegin('is_unreachable', TType.BOOL, 11)
             oprot.writeBool(self.is_unreachable)
             oprot.writeFieldEnd()
+        if self.service_ms is not None:
+            oprot.writeFieldBegin('service_ms', TType.I32, 12)
+            oprot.writeI32(self.service_ms)
+            oprot.writeFieldEnd()
+        if self.ejected_for_ms is not None:
+            oprot.writeFieldBegin('ejected_for_ms', TType.I32, 13)
+            oprot.writeI32(self.ejected_for_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3037,6 +3061,8 @@
     (9, TType.I64, 'retry_after_ms', None, None, ),  # 9
     (10, TType.DOUBLE, 'load', None, None, ),  # 10
     (11, TType.BOOL, 'is_unreachable', None, None, ),  # 11
+    (12, TType.I32, 'service_ms', None, None, ),  # 12
+    (13, TType.I32, 'ejected_for_ms', None, None, ),  # 13
 )
 all_structs.append(Body)
 Body.thrift_spec = (
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/upstream.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/upstream.py
@@ -7,7 +7,7 @@
 
 from bronzescale_core.exceptions import UpstreamStatementError
 from bronzescale_core.positions import ORIGIN, Position
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
 
 COM_QUERY = 0x03
@@ -76,7 +76,7 @@
         transport = self._raw._transport
         if transport is None or transport.is_closing():
             raise UpstreamUnavailableError("the connection was closed", is_sent=False)
-        self.sent_at_ms = monotonic_ms()
+        self.sent_at_ms = now_ms()
         try:
             await self._raw._execute_command(COM_QUERY, sql)
             first = await self._raw.read_packet()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/watch.py
@@ -13,7 +13,7 @@
 from bronzescale_core.exceptions import UpstreamStatementError
 from bronzescale_core.positions import covers
 from bronzescale_proxy import orders
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     PermitUnavailableError,
     UpstreamUnavailableError,
@@ -70,7 +70,7 @@
         self._is_primary = is_primary
         self._on_silence = on_silence
         self._was_silent = False
-        self._detector = FailureDetector(monotonic_ms())
+        self._detector = FailureDetector(now_ms())
         self._connection = None
         self._asker = None
         self._ask_lock = anyio.Lock()
@@ -85,7 +85,7 @@
         -------
         Finding
         """
-        return self._detector.finding(monotonic_ms())
+        return self._detector.finding(now_ms())
 
     async def run(self):
         """Watch until cancelled."""
@@ -146,7 +146,7 @@
             starts = group_state().term_starts
             if self.report and covers(self.report.applied_position, floor, starts):
                 return True
-            remaining_ms = until_ms - monotonic_ms()
+            remaining_ms = until_ms - now_ms()
             if remaining_ms <= 0:
                 return False
             with anyio.move_on_after(remaining_ms / 1_000):
@@ -190,7 +190,7 @@
 
     def _observe(self, outcome):
         self.probes_total += 1
-        finding = self._detector.observe(outcome, monotonic_ms())
+        finding = self._detector.observe(outcome, now_ms())
         self._on_finding(self.upstream.name, finding)
 
     def _take(self, report):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -353,6 +353,8 @@
         retry_after_ms=message.retry_after_ms or None,
         load=message.load,
         is_unreachable=message.is_unreachable or None,
+        service_ms=int(message.service_ms) or None,
+        ejected_for_ms=max(0, message.ejected_until_ms - now_ms) or None,
     )
     return t.Body(answer=answer)
 
@@ -393,6 +395,8 @@
         transaction_id=value.transaction_id,
         retry_after_ms=value.retry_after_ms or 0,
         load=value.load,
+        service_ms=float(value.service_ms or 0),
+        ejected_until_ms=now_ms + value.ejected_for_ms if value.ejected_for_ms else 0,
         is_unreachable=bool(value.is_unreachable),
     )
 
--- a/packages/bronzescale-proxy/tests/test_fleet.py
+++ b/packages/bronzescale-proxy/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from asyncmy import errors
 
 from bronzescale_core.groups import Phase
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.conf import Settings
 from bronzescale_proxy.exceptions import PeerUnavailableError, PermitUnavailableError
 from bronzescale_proxy.pool import (
@@ -210,7 +210,7 @@
             ConnectionPool(
                 UpstreamConnector(upstream, Settings(f"n{i}", "a", "north", "")),
                 plan.work,
-                monotonic_ms,
+                now_ms,
             )
             for i in range(5)
         ]
--- a/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/bench_control.py
@@ -15,7 +15,7 @@
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_ctl.client import PlatformClient
 from bronzescale_proxy import wire
-from bronzescale_proxy.clock import monotonic_ms
+from bronzescale_proxy.clock import now_ms
 from bronzescale_standins.bench_output import DEFAULT_FILE, AsJson, run_measure, show
 from bronzescale_standins.load import read_use
 from bronzescale_standins.processes import FleetOptions, ProcessFleet
@@ -182,10 +182,10 @@
 def _rank_time_ms(fleet):
     """Return the time to find the owners of 1,100 databases, from a sample."""
     nodes = next(iter(fleet.values())).eligible()
-    started_ms = monotonic_ms()
+    started_ms = now_ms()
     for index in range(RANK_SAMPLE):
         rank_nodes(f"db-{index}", nodes, "z1", "r", 2)
-    return (monotonic_ms() - started_ms) * 1_100 / RANK_SAMPLE
+    return (now_ms() - started_ms) * 1_100 / RANK_SAMPLE
 
 
 def state(
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/database.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/database.py
@@ -158,6 +158,7 @@
         self.is_silent = False
         self.lose_next_answers = 0
         self.fail_share = 0.0
+        self.hang_share = 0.0
         self.refuse_next = []
         self.term = 1
         self.held_term = 0
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/database_session.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/database_session.py
@@ -194,6 +194,8 @@
 
     async def _slot_work(self):
         await anyio.sleep(self._database.work_s)
+        if random.random() < self._database.hang_share:
+            await anyio.sleep_forever()
         if random.random() < self._database.fail_share:
             return self._fail("FAILED", "disk")
         return None
