Take slots back from overdue statements; wait for heads without a slot

A lost answer held one of three slots until its deadline, and counted as a service time of 1.5 s, so the queue refused what the idle database could have run. Statements that waited for a head or a proof held slots too.

Change: a statement that holds its slot for five usual service times (at least 100 ms) no longer counts as running; what the database did not answer leaves the service time as it is; heads and proofs are awaited before the slot is taken, and checked again with it. Idle loops look every 300 ms or wait for their first use instead of every 100 ms.

--- a/packages/bronzescale-core/src/bronzescale_core/admission.py
+++ b/packages/bronzescale-core/src/bronzescale_core/admission.py
@@ -9,6 +9,13 @@
 SERVICE_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_MS = 50
 MAX_CONSECUTIVE_SAVES = 3
+# A statement that holds its slot for this many usual service times is overdue: the
+# database has lost it, or its answer, and can run others meanwhile.
+OVERDUE_FACTOR = 5.0
+# The longest statements of known workloads take 60 ms, few of them 300 ms.
+MIN_OVERDUE_MS = 100.0
+# Share of a statement's time that it may wait; the rest is left to run and to return.
+MAX_WAIT_SHARE = 1.0
 
 
 class WorkClass(IntEnum):
@@ -113,18 +120,22 @@
         Statements that the database runs side by side.
     max_queued : int
         Tickets that may wait, both classes together.
+    max_wait_share : float
+        Share of a ticket's time that it may wait.
 
     Notes
     -----
     The queue refuses a ticket that cannot start in time, by the measured service
-    time, when it arrives and not when its deadline passes.
+    time, when it arrives and not when its deadline passes. A ticket that is overdue
+    no longer counts as running, so that a few lost answers do not stop the rest.
     """
 
-    def __init__(self, slots, max_queued):
+    def __init__(self, slots, max_queued, max_wait_share=MAX_WAIT_SHARE):
         self._slots = slots
         self._max_queued = max_queued
+        self._max_wait_share = max_wait_share
         self._queues = {work_class: _ClassQueue() for work_class in WorkClass}
-        self._running = set()
+        self._running = {}
         self._consecutive_saves = 0
         self._service_time_ms = DEFAULT_SERVICE_TIME_MS
         self._next_id = 1
@@ -169,22 +180,25 @@
         ticket = Ticket(self._next_id, work_class, deadline_ms)
         self._next_id += 1
         if len(self._running) < self._slots and not self.queued:
-            return self._admit(ticket)
+            return self._admit(ticket, now_ms)
         wait_ms = self._expected_wait_ms(ticket)
         if self.queued >= self._max_queued:
             return self._refuse(ticket, wait_ms, "the queue is full")
-        if now_ms + wait_ms + self._service_time_ms > deadline_ms:
+        longest_wait_ms = self._max_wait_share * (deadline_ms - now_ms)
+        if wait_ms + self._service_time_ms > longest_wait_ms:
             return self._refuse(ticket, wait_ms, "it cannot start before its deadline")
         self._queues[work_class].push(ticket)
         return Queued(ticket)
 
-    def admit_at_once(self, deadline_ms):
+    def admit_at_once(self, deadline_ms, now_ms):
         """Admit a statement of an open transaction, also past the slots.
 
         Parameters
         ----------
         deadline_ms : int
             When its caller gives up.
+        now_ms : int
+            Current time.
 
         Returns
         -------
@@ -197,9 +211,33 @@
         """
         ticket = Ticket(self._next_id, WorkClass.SAVE, deadline_ms)
         self._next_id += 1
-        self._running.add(ticket.ticket_id)
+        self._running[ticket.ticket_id] = now_ms
         return Admitted(ticket)
 
+    @property
+    def overdue_ms(self):
+        """Return how long a statement may hold its slot."""
+        return max(MIN_OVERDUE_MS, OVERDUE_FACTOR * self._service_time_ms)
+
+    def release_overdue(self, now_ms):
+        """Take the slots of statements that hold them for too long.
+
+        Parameters
+        ----------
+        now_ms : int
+            Current time.
+
+        Returns
+        -------
+        list of Admitted or Refused
+            What the free slots allow.
+        """
+        limit_ms = now_ms - self.overdue_ms
+        overdue = [each for each, at_ms in self._running.items() if at_ms < limit_ms]
+        for ticket_id in overdue:
+            del self._running[ticket_id]
+        return self._fill(now_ms) if overdue else []
+
     def finish(self, ticket, held_ms, now_ms):
         """Give a slot back and hand it to whoever is next.
 
@@ -208,7 +246,8 @@
         ticket : Ticket
             The ticket that held the slot.
         held_ms : float or None
-            How long; None leaves the smoothed service time as it is.
+            How long; None leaves the smoothed service time as it is, as for a
+            statement without an answer.
         now_ms : int
             Current time.
 
@@ -216,7 +255,7 @@
         -------
         list of Admitted or Refused
         """
-        self._running.discard(ticket.ticket_id)
+        self._running.pop(ticket.ticket_id, None)
         if held_ms is not None:
             change_ms = held_ms - self._service_time_ms
             self._service_time_ms += SERVICE_TIME_WEIGHT * change_ms
@@ -246,7 +285,7 @@
             if ticket.deadline_ms <= now_ms:
                 decisions.append(self._refuse(ticket, 0, "its deadline has passed"))
                 continue
-            decisions.append(self._admit(ticket))
+            decisions.append(self._admit(ticket, now_ms))
         return list(decisions)
 
     def _pop_next(self):
@@ -257,10 +296,10 @@
             return saves.pop()
         return reads.pop()
 
-    def _admit(self, ticket):
+    def _admit(self, ticket, now_ms):
         is_save = ticket.work_class is WorkClass.SAVE
         self._consecutive_saves = self._consecutive_saves + 1 if is_save else 0
-        self._running.add(ticket.ticket_id)
+        self._running[ticket.ticket_id] = now_ms
         return Admitted(ticket)
 
     def _refuse(self, ticket, wait_ms, reason):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -41,7 +41,9 @@
 DETECTION_PROBE_S = 0.3
 # A doubted primary is asked once more for a watcher that wants evidence.
 EVIDENCE_PROBE_S = 0.25
-UNUSED_CHECK_S = 0.1
+# A node that neither serves nor watches a primary looks this often whether it should;
+# the membership takes several times as long to notice that another node is gone.
+UNUSED_CHECK_S = 0.3
 # From the claim on: the wait for the lease, a promotion, and its publication.
 CHANGE_TAKES_MS = LEAD_LEASE_MS + 800
 # How soon a silence or the end of a doubt is noticed.
@@ -70,6 +72,7 @@
         self.detector = FailureDetector(now_ms(), DETECTION)
         self._detected = ""
         self._used_at_ms = 0
+        self._use_began = anyio.Event()
         self._proved = anyio.Event()
         self._head_lock = anyio.Lock()
         self._term = 0
@@ -101,6 +104,7 @@
     def use(self):
         """Keep the proof fresh for a while."""
         self._used_at_ms = now_ms()
+        self._use_began.set()
 
     def finding(self):
         """Return this node's verdict on the primary."""
@@ -218,13 +222,18 @@
             primary = self.primary
             is_used = now_ms() - self._used_at_ms < USE_LASTS_MS
             if primary is None or not (is_used or self._owns_primary()):
-                await anyio.sleep(UNUSED_CHECK_S)
+                await self._rest_until_used()
                 continue
             started_at_ms = now_ms()
             await self._prove(primary)
             left_ms = PROOF_INTERVAL_MS - (now_ms() - started_at_ms)
             await anyio.sleep(max(20, left_ms) / 1_000)
 
+    async def _rest_until_used(self):
+        self._use_began = anyio.Event()
+        with anyio.move_on_after(UNUSED_CHECK_S):
+            await self._use_began.wait()
+
     async def _keep_watch(self):
         while True:
             primary = self.primary
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -40,6 +40,9 @@
 # When to come back after a failure that a change of primary will end.
 RETRY_AFTER_FAILURE_MS = 300
 
+_NO_HEAD = WorkAnswer(
+    Outcome.BEHIND, Reach.NOT_SENT, "no recent head of the primary is known"
+)
 # Answers that a sound database with a bounded number of statements does not give.
 _FAULTS = frozenset((Outcome.FAILED, Outcome.TIMEOUT, Outcome.BUSY))
 
@@ -147,12 +150,13 @@
                 return _not_sent("the transaction has been rolled back")
             transaction.used_at_ms = now_ms()
             transaction.has_written |= work.is_write
-            ticket = self._queue.admit_at_once(work.deadline_ms).ticket
+            ticket = self._queue.admit_at_once(work.deadline_ms, now_ms()).ticket
             started_ms = now_ms()
+            answer = None
             try:
                 answer = await self._run_step(work, transaction)
             finally:
-                self._finish(ticket, now_ms() - started_ms)
+                self._finish(ticket, _held_ms(started_ms, answer))
                 if transaction.number in self._transactions:
                     transaction.used_at_ms = now_ms()
         return answer
@@ -223,8 +227,13 @@
     # Admission
 
     async def _run_admitted(self, work, opener):
+        # What has to wait for a head or for a proof does so without a slot.
+        refused = await self._check_consistency(work)
+        if refused is not None:
+            return refused
         is_save = work.is_write or work.needs_lead
         work_class = WorkClass.SAVE if is_save else WorkClass.READ
+        self._deliver(self._queue.release_overdue(now_ms()))
         decision = self._queue.offer(work_class, work.deadline_ms, now_ms())
         if isinstance(decision, Refused):
             return _refused(decision)
@@ -234,21 +243,26 @@
             if refused is not None:
                 return refused
         started_ms = now_ms()
+        answer = None
         try:
-            return await self._run_on_pool(work, opener)
+            answer = await self._run_on_pool(work, opener)
         finally:
-            self._finish(ticket, now_ms() - started_ms)
+            self._finish(ticket, _held_ms(started_ms, answer))
+        return answer
 
     async def _wait_for_slot(self, ticket):
         event = anyio.Event()
-        self._waiting[ticket.ticket_id] = event
         decided = {}
         self._waiting[ticket.ticket_id] = (event, decided)
         is_decided = False
         try:
-            with anyio.move_on_after(max(0, ticket.deadline_ms - now_ms()) / 1_000):
-                await event.wait()
-                is_decided = True
+            while not is_decided and now_ms() < ticket.deadline_ms:
+                pause_ms = min(self._queue.overdue_ms, ticket.deadline_ms - now_ms())
+                with anyio.move_on_after(max(0, pause_ms) / 1_000):
+                    await event.wait()
+                is_decided = event.is_set()
+                if not is_decided:
+                    self._deliver(self._queue.release_overdue(now_ms()))
         finally:
             self._waiting.pop(ticket.ticket_id, None)
             has_slot = isinstance(decided.get("decision"), Admitted)
@@ -268,7 +282,11 @@
         )
 
     def _finish(self, ticket, held_ms):
-        for decision in self._queue.finish(ticket, held_ms, now_ms()):
+        self._deliver(self._queue.finish(ticket, held_ms, now_ms()))
+
+    def _deliver(self, decisions):
+        """Tell those who wait for a slot what became of them."""
+        for decision in decisions:
             waiting = self._waiting.get(decision.ticket.ticket_id)
             if waiting is None:
                 if isinstance(decision, Admitted):
@@ -280,16 +298,23 @@
 
     # Running
 
-    async def _run_on_pool(self, work, opener):
-        floor = await self._floor(work)
-        if floor is None:
-            return WorkAnswer(
-                Outcome.BEHIND, Reach.NOT_SENT, "no recent head of the primary is known"
-            )
+    async def _check_consistency(self, work):
+        """Return why this database cannot serve a statement now, or None."""
+        if await self._floor(work) is None:
+            return _NO_HEAD
         if not await self._may_lead(work):
             reason = f"{self.copy.instance} is not proven to lead"
             return _not_sent(reason, Outcome.BUSY, is_unreachable=True)
-        link = None
+        return None
+
+    async def _run_on_pool(self, work, opener):
+        # The lead may have changed while the statement waited for its slot.
+        refused = await self._check_consistency(work)
+        if refused is not None:
+            return refused
+        floor = await self._floor(work)
+        if floor is None:
+            return _NO_HEAD
         until_ms = self._patience_ends_ms(work, now_ms())
         try:
             with anyio.fail_after(max(0.001, (until_ms - now_ms()) / 1_000)):
@@ -472,6 +497,12 @@
         )
 
 
+def _held_ms(started_ms, answer):
+    """Return how long a statement held its slot, or None if it did not end there."""
+    is_ended = answer is not None and answer.reach is Reach.ANSWERED
+    return now_ms() - started_ms if is_ended else None
+
+
 def _refused(decision):
     return WorkAnswer(
         Outcome.BUSY,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -27,6 +27,8 @@
 )
 
 CHECK_INTERVAL_S = 0.1
+# A node that does not watch the service only looks whether it should.
+IDLE_CHECK_S = 0.3
 # A probe at the other watcher and the way there and back.
 EVIDENCE_TIMEOUT_S = 0.4
 # Each further watcher waits this much longer, so that the first usually acts alone.
@@ -76,7 +78,8 @@
     async def run(self):
         """Run until cancelled."""
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            is_watching = self._node.watches(self._service)
+            await anyio.sleep(CHECK_INTERVAL_S if is_watching else IDLE_CHECK_S)
             if self._node.is_stopping:
                 continue
             trigger = self._trigger()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -492,7 +492,7 @@
 
     @contextmanager
     def _admitted_at_once(self, request):
-        ticket = self._queue.admit_at_once(request.deadline_ms).ticket
+        ticket = self._queue.admit_at_once(request.deadline_ms, now_ms()).ticket
         try:
             yield
         finally:
