Ask the chosen copy once more whether it is still paused before the order

Cause: a copy that was paused and restarts within the 0.75 s before its promotion forgets the pause. Its next word, "held for no term", could prove the old primary's lead for another 700 ms to a host that reaches all copies, past the order to promote.

Ruled out: sending the pause again without asking (its answer shows the new pause, not whether the old one held throughout).

Change: after the wait the driver asks the copy for its status; if the pause is gone it pauses again, waits a lease again, and gives up when the claim runs out.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -217,8 +217,9 @@
         chosen = choose_successor(paused + leading, trigger)
         if chosen is None:
             raise UpstreamUnavailableError("no copy could be paused")
-        wait_ms = fenced_at_ms + LEAD_LEASE_MS + LEASE_MARGIN_MS - now_ms()
-        await anyio.sleep(max(0, wait_ms) / 1_000)
+        await _sleep_past_lease(fenced_at_ms)
+        if chosen in paused:
+            await self._keep_paused(chosen, claim.term, expires_ms)
         await self._order(chosen, claim, expires_ms)
         await self._finish(chosen, claim)
 
@@ -295,6 +296,29 @@
                 tasks.start_soon(self._order_copy, copy, text, found)
         return paused
 
+    async def _keep_paused(self, chosen, term, expires_ms):
+        """Make sure that the pause held for as long as a lease lasts.
+
+        A copy that restarts forgets its pause, and its word could prove the old lead
+        once more.
+        """
+        copy = self._node.catalog.find(chosen.instance)
+        while copy is not None and now_ms() < expires_ms:
+            answers = []
+            await self._order_copy(copy, self._node.codec.status, answers)
+            if answers and answers[0].status.held_term >= term:
+                return
+            self._node.log.believe(
+                "pause_forgotten",
+                service=self._service,
+                upstream=chosen.instance,
+                term=term,
+                is_answering=bool(answers),
+            )
+            await self._order_copy(copy, self._node.codec.pause(term), [])
+            await _sleep_past_lease(now_ms())
+        raise UpstreamUnavailableError(f"{chosen.instance} does not stay paused")
+
     async def _order(self, chosen, claim, expires_ms):
         """Order the promotion while the claim is certainly this node's."""
         while True:
@@ -377,3 +401,9 @@
                     tasks.start_soon(
                         self._order_copy, copy, self._node.codec.resume, []
                     )
+
+
+async def _sleep_past_lease(since_ms):
+    """Wait until every proof that was asked for before a moment has lapsed."""
+    wait_ms = since_ms + LEAD_LEASE_MS + LEASE_MARGIN_MS - now_ms()
+    await anyio.sleep(max(0, wait_ms) / 1_000)
