Replace a silent primary without waiting for its answers, and respect a rival's claim

The survey before the claim and the fence after it each asked the dead primary twice for 0.45 s. Meanwhile a second driver had surveyed too and claimed the next term over the first one's claim at 12.85, since it took the newest state for granted; the change began anew.

Ruled out: the store (claims took 10 ms); the lease (0.75 s, needed).

Change: a primary that is down is left out of the survey, its STEPDOWN is sent without waiting for it (the lease bounds what it may still do), and only a driver that takes over an overdue claim may claim while another's is open.

Figures: two of the tests in tests/test_fleet_fencing.py failed before (orders to the primary that never time out; a rival's claim) and pass now.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -203,7 +203,9 @@
     # The change itself
 
     async def _change(self, trigger):
-        candidates = await self._survey()
+        # A primary that is down would only hold the survey up.
+        is_down = trigger.cause is Cause.DOWN
+        candidates = await self._survey(trigger.primary if is_down else "")
         if not any(c.instance != trigger.primary for c in candidates):
             raise UpstreamUnavailableError("no copy that could take over answers")
         # Counted from before the write, as others count from when they see it.
@@ -223,11 +225,13 @@
         await self._order(chosen, claim, expires_ms)
         await self._finish(chosen, claim)
 
-    async def _survey(self):
-        """Return what every copy that answers says of itself."""
+    async def _survey(self, left_out=""):
+        """Return what every copy that answers says of itself, but for one."""
         found = []
         async with anyio.create_task_group() as tasks:
             for copy in self._node.catalog.copies(self._service):
+                if copy.instance == left_out:
+                    continue
                 tasks.start_soon(self._order_copy, copy, self._node.codec.status, found)
         return found
 
@@ -245,6 +249,9 @@
 
     async def _claim(self, trigger, candidates):
         known = self._node.state(self._service)
+        is_open = known is not None and known.phase is not Phase.ACTIVE
+        if is_open and trigger.cause is not Cause.LEFT_OPEN:
+            raise ClaimLostError(f"{known.writer} has claimed term {known.term}")
         term = next_term(known, candidates)
         claim = GroupState(
             service=self._service,
@@ -283,17 +290,20 @@
             await anyio.sleep(POLL_S)
 
     async def _fence(self, primary, term):
-        """Pause the copies and end the old primary's lead where it can be reached."""
+        """Pause the copies and end the old primary's lead where it can be reached.
+
+        The lease bounds what a primary that is out of reach may still do, so that
+        nobody waits for its answer.
+        """
         codec = self._node.codec
         paused = []
-        stepped_down = []
         async with anyio.create_task_group() as tasks:
             for copy in self._node.catalog.copies(self._service):
                 if copy.instance == primary:
-                    text, found = codec.step_down(term), stepped_down
+                    step_down = codec.step_down(term)
+                    self._node.tasks.start_soon(self._order_copy, copy, step_down, [])
                 else:
-                    text, found = codec.pause(term), paused
-                tasks.start_soon(self._order_copy, copy, text, found)
+                    tasks.start_soon(self._order_copy, copy, codec.pause(term), paused)
         return paused
 
     async def _keep_paused(self, chosen, term, expires_ms):
--- a/tests/test_fleet_fencing.py
+++ b/tests/test_fleet_fencing.py
@@ -3,6 +3,11 @@
 import anyio
 import testtools
 
+from bronzescale_core.groups import GroupState, Phase
+from bronzescale_core.succession import Cause, Trigger
+from bronzescale_proxy.fleet.control import CopyControl
+from bronzescale_proxy.fleet.promotion import ClaimLostError, Promoter
+from bronzescale_proxy.fleet.upstream import open_link
 from bronzescale_standins.fleet.world import running_world
 
 
@@ -31,3 +36,57 @@
 
         anyio.run(run)
         self.assertTrue(held_at_order[0] > 0, held_at_order)
+
+
+class TestSilentPrimary(testtools.TestCase):
+    """A primary that is cut off answers nothing; nobody waits for it."""
+
+    def test_order_is_given_before_orders_to_the_primary_time_out(self):
+        ordered = anyio.Event()
+        # Far longer than the world waits: whoever awaits the primary fails the test.
+        self.patch(CopyControl.order, "__defaults__", (60.0,))
+        self.patch(open_link, "__defaults__", (60.0,))
+
+        async def run():
+            async with running_world() as world:
+                order = world.group.promote
+
+                async def promote(instance, holder, token):
+                    ordered.set()
+                    return await order(instance, holder, token)
+
+                self.patch(world.group, "promote", promote)
+                world.group.primary().is_silent = True
+                await world.until(ordered.is_set)
+
+        anyio.run(run)
+        self.assertTrue(ordered.is_set())
+
+
+class TestRivalDrivers(testtools.TestCase):
+    def test_claim_of_another_node_is_left_alone_until_it_is_overdue(self):
+        """A driver that surveyed meanwhile must not start the change anew."""
+
+        async def run():
+            async with running_world() as world:
+                node = world.members[0].process.node
+                service = world.group.service
+                primary = world.group.primary().instance
+                promoter = Promoter(node, None, service)
+                rival = GroupState(
+                    service=service,
+                    term=7,
+                    primary=primary,
+                    phase=Phase.FENCING,
+                    writer="rival",
+                    nonce="rival:1",
+                    reason="down",
+                    version=0,
+                )
+                await node.write_state(rival)
+                trigger = Trigger(Cause.DOWN, primary, "3 probes unanswered")
+                with self.assertRaises(ClaimLostError):
+                    await promoter._claim(trigger, [])
+                self.assertEqual("rival", node.state(service).writer)
+
+        anyio.run(run)
