Take slots back only from statements that later ones overtook

The leak guard took slots from statements that were only slow; the database got more than its slots, grew slower, lost more slots, and its time-outs ejected it, which moved its load to the others.

Ruled out: the connection limit (234, far from reached).

--- a/packages/bronzescale-core/src/bronzescale_core/admission.py
+++ b/packages/bronzescale-core/src/bronzescale_core/admission.py
@@ -9,9 +9,13 @@
 SERVICE_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_MS = 50
 MAX_CONSECUTIVE_SAVES = 3
-# A statement that holds its slot for this many usual service times is overdue: the
-# database has lost it, or its answer, and can run others meanwhile.
+# A statement that holds its slot for this many usual service times, while later ones
+# came and went, is overdue: the database has lost it, or its answer.
 OVERDUE_FACTOR = 5.0
+# One later statement may be quicker by chance.
+MIN_OVERTAKEN = 2
+# A fifth of the answers lost for a second leaves this many behind for each slot.
+MAX_OVERDUE_PER_SLOT = 4
 # The longest statements of known workloads take 60 ms, few of them 300 ms.
 MIN_OVERDUE_MS = 100.0
 # Share of a statement's time that it may wait; the rest is left to run and to return.
@@ -73,6 +77,15 @@
     ticket: Ticket
 
 
+class _Running:
+    """A ticket that holds a slot."""
+
+    def __init__(self, started_at_ms, number):
+        self.started_at_ms = started_at_ms
+        self.number = number
+        self.overtaken = 0
+
+
 class _ClassQueue:
     """Tickets of one work class, earliest deadline first."""
 
@@ -127,7 +140,8 @@
     -----
     The queue refuses a ticket that cannot start in time, by the measured service
     time, when it arrives and not when its deadline passes. A ticket that is overdue
-    no longer counts as running, so that a few lost answers do not stop the rest.
+    no longer counts as running, so that a few lost answers do not stop the rest. Their
+    number is bounded, since a database that is merely slow must not get ever more work.
     """
 
     def __init__(self, slots, max_queued, max_wait_share=MAX_WAIT_SHARE):
@@ -136,6 +150,8 @@
         self._max_wait_share = max_wait_share
         self._queues = {work_class: _ClassQueue() for work_class in WorkClass}
         self._running = {}
+        self._overdue = set()
+        self._started = 0
         self._consecutive_saves = 0
         self._service_time_ms = DEFAULT_SERVICE_TIME_MS
         self._next_id = 1
@@ -211,9 +227,13 @@
         """
         ticket = Ticket(self._next_id, WorkClass.SAVE, deadline_ms)
         self._next_id += 1
-        self._running[ticket.ticket_id] = now_ms
+        self._start(ticket, now_ms)
         return Admitted(ticket)
 
+    def _start(self, ticket, now_ms):
+        self._started += 1
+        self._running[ticket.ticket_id] = _Running(now_ms, self._started)
+
     @property
     def overdue_ms(self):
         """Return how long a statement may hold its slot."""
@@ -233,9 +253,15 @@
             What the free slots allow.
         """
         limit_ms = now_ms - self.overdue_ms
-        overdue = [each for each, at_ms in self._running.items() if at_ms < limit_ms]
-        for ticket_id in overdue:
+        overdue = [
+            ticket_id
+            for ticket_id, each in self._running.items()
+            if each.started_at_ms < limit_ms and each.overtaken >= MIN_OVERTAKEN
+        ]
+        room = self._slots * MAX_OVERDUE_PER_SLOT - len(self._overdue)
+        for ticket_id in overdue[:room]:
             del self._running[ticket_id]
+            self._overdue.add(ticket_id)
         return self._fill(now_ms) if overdue else []
 
     def finish(self, ticket, held_ms, now_ms):
@@ -255,12 +281,20 @@
         -------
         list of Admitted or Refused
         """
-        self._running.pop(ticket.ticket_id, None)
+        running = self._running.pop(ticket.ticket_id, None)
+        self._overdue.discard(ticket.ticket_id)
         if held_ms is not None:
+            self._count_overtaken(running)
             change_ms = held_ms - self._service_time_ms
             self._service_time_ms += SERVICE_TIME_WEIGHT * change_ms
         return self._fill(now_ms)
 
+    def _count_overtaken(self, finished):
+        """Note which statements began before one that the database has answered."""
+        for each in self._running.values():
+            if finished is not None and each.number < finished.number:
+                each.overtaken += 1
+
     def withdraw(self, ticket):
         """Drop a waiting ticket whose caller has gone.
 
@@ -299,7 +333,7 @@
     def _admit(self, ticket, now_ms):
         is_save = ticket.work_class is WorkClass.SAVE
         self._consecutive_saves = self._consecutive_saves + 1 if is_save else 0
-        self._running[ticket.ticket_id] = now_ms
+        self._start(ticket, now_ms)
         return Admitted(ticket)
 
     def _refuse(self, ticket, wait_ms, reason):
--- a/packages/bronzescale-core/tests/test_admission_load.py
+++ b/packages/bronzescale-core/tests/test_admission_load.py
@@ -12,6 +12,7 @@
 from testtools import TestCase
 
 from bronzescale_core.admission import (
+    MAX_OVERDUE_PER_SLOT,
     AdmissionQueue,
     Admitted,
     Queued,
@@ -151,3 +152,44 @@
         guarded = play(load, 0.5)
         self.assertTrue(guarded > 0.9, guarded)
         self.assertTrue(guarded > play(load, 0.5, has_leak_guard=False) + 0.1)
+
+
+class TestLeakGuard(TestCase):
+    def _queue(self):
+        queue = AdmissionQueue(2, 10)
+        first = queue.offer(WorkClass.READ, 9_000, 0).ticket
+        return queue, first
+
+    def test_slow_database_keeps_its_slots(self):
+        """Nothing overtakes in a queue of the database's own, so nothing is lost."""
+        queue, _ = self._queue()
+        queue.offer(WorkClass.READ, 9_000, 1)
+        waiting = queue.offer(WorkClass.READ, 9_000, 2)
+        self.assertIsInstance(waiting, Queued)
+        self.assertEqual([], queue.release_overdue(5_000))
+        self.assertEqual(2, queue.running)
+
+    def test_overtaken_statement_gives_its_slot_back(self):
+        queue, first = self._queue()
+        for now_ms in (10, 20):
+            queue.finish(queue.offer(WorkClass.READ, 9_000, now_ms).ticket, 5, now_ms)
+        queue.offer(WorkClass.READ, 9_000, 30)
+        waiting = queue.offer(WorkClass.READ, 9_000, 31).ticket
+        self.assertEqual([Admitted(waiting)], queue.release_overdue(200))
+        self.assertEqual([], queue.finish(first, None, 201))
+        self.assertEqual(2, queue.running)
+
+    def test_overdue_statements_are_bounded(self):
+        """Answers go on being lost: the slots fill up in the end."""
+        queue, _ = self._queue()
+        now_ms = 0
+        for _ in range(6 * MAX_OVERDUE_PER_SLOT):
+            now_ms += 500
+            queue.release_overdue(now_ms)
+            queue.offer(WorkClass.READ, 99_000, now_ms)
+            for _ in range(2):
+                each = queue.offer(WorkClass.READ, 99_000, now_ms)
+                if isinstance(each, Admitted):
+                    queue.finish(each.ticket, 5, now_ms)
+        self.assertEqual(2, queue.running)
+        self.assertEqual([], queue.release_overdue(now_ms + 500))
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -35,6 +35,8 @@
 IDLE_SLACK_MS = 1_000
 # A database that takes this many times its usual time has lost the statement.
 PATIENCE_FACTOR = 8
+# An overloaded database that is this much slower than usual fails nothing.
+SILENCE_FACTOR = 4
 # The longest statements of known workloads take 300 ms when slots are free.
 MIN_PATIENCE_MS = 400
 # When to come back after a failure that a change of primary will end.
@@ -315,16 +317,17 @@
         floor = await self._floor(work)
         if floor is None:
             return _NO_HEAD
-        until_ms = self._patience_ends_ms(work, now_ms())
+        asked_at_ms = now_ms()
+        until_ms = self._patience_ends_ms(work, asked_at_ms)
         try:
-            with anyio.fail_after(max(0.001, (until_ms - now_ms()) / 1_000)):
+            with anyio.fail_after(max(0.001, (until_ms - asked_at_ms) / 1_000)):
                 link = await self._take_link(work)
         except UpstreamUnavailableError as error:
             outcome = getattr(error, "outcome", Outcome.BUSY)
             is_gone = outcome in (Outcome.BUSY, Outcome.WRONG_INSTANCE)
             return _not_sent(str(error), Outcome.BUSY, is_unreachable=is_gone)
         except TimeoutError:
-            self._note_outcome(True)
+            self._note_silence(now_ms() - asked_at_ms)
             return _not_sent("no connection became free in time", Outcome.BUSY)
         if work.step is WorkStep.SINGLE:
             try:
@@ -413,7 +416,7 @@
                 Outcome.UNKNOWN, Reach.SENT, str(error), is_unreachable=True
             )
         except TimeoutError:
-            self._note_outcome(True)
+            self._note_silence(now_ms() - sent_at_ms)
             link.is_usable = False
             return WorkAnswer(
                 Outcome.TIMEOUT, Reach.SENT, "the database did not answer in time"
@@ -431,6 +434,11 @@
         is_time_for_another = sent_at_ms + 2 * patience_ms < work.deadline_ms
         return sent_at_ms + patience_ms if is_time_for_another else work.deadline_ms
 
+    def _note_silence(self, waited_ms):
+        """Count a silence, unless the database is as slow with all statements."""
+        if waited_ms >= SILENCE_FACTOR * self._queue.service_time_ms:
+            self._note_outcome(True)
+
     def _note_outcome(self, is_failed):
         """Count an outcome; a database whose statements fail is told to be avoided."""
         if self._outcomes.note(is_failed, now_ms()):
