Refuse at once a statement that no database has room for

Cause: when every database's owner said that a statement cannot start before its deadline, its node asked all of them again every 25 to 120 ms until the deadline.

Ruled out: a longer pause between rounds (holds the caller as long).

Change: if one round brings only refusals for want of room, or for lag beside them, the caller is refused with the earliest time to come back. Unreachable owners, unproven leads and lag alone go on being retried, as before.

Figures: the test of a saturated world in tests/test_fleet_grey.py failed before (more attempts than databases) and passes now.

--- a/packages/bronzescale-core/src/bronzescale_core/work.py
+++ b/packages/bronzescale-core/src/bronzescale_core/work.py
@@ -248,3 +248,40 @@
         return True
     # A transaction whose first statement ran stays where that ran, or is rolled back.
     return work.step is WorkStep.SINGLE and not work.is_write
+
+
+def is_out_of_room(answer):
+    """Tell whether a database had no slot for a statement before its deadline.
+
+    Parameters
+    ----------
+    answer : WorkAnswer
+        What became of it.
+
+    Returns
+    -------
+    bool
+    """
+    is_refused = answer.outcome is Outcome.BUSY and answer.reach is Reach.NOT_SENT
+    return is_refused and not answer.is_unreachable and answer.retry_after_ms > 0
+
+
+def choose_refusal(answers):
+    """Return the refusal that ends a statement which no database has room for.
+
+    Parameters
+    ----------
+    answers : sequence of WorkAnswer
+        What every database that could run it answered just now.
+
+    Returns
+    -------
+    WorkAnswer or None
+        The one with the earliest time to come back; None while a database may still
+        take the statement, since it failed for another reason than load.
+    """
+    full = [answer for answer in answers if is_out_of_room(answer)]
+    behind = [answer for answer in answers if answer.outcome is Outcome.BEHIND]
+    if not full or len(full) + len(behind) < len(answers):
+        return None
+    return min(full, key=lambda answer: answer.retry_after_ms)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
@@ -9,6 +9,7 @@
     Reach,
     WorkAnswer,
     WorkStep,
+    choose_refusal,
     may_run_elsewhere,
 )
 from bronzescale_proxy import wire
@@ -65,7 +66,13 @@
             refused = self._refuse_leaderless(work)
             if refused is not None:
                 return refused, "", None
-            outcome = await self._try_round(work, opener, last)
+            answers = []
+            outcome = await self._try_round(work, opener, last, answers)
+            refusal = choose_refusal(answers)
+            if refusal is not None:
+                # Another round would find the same queues; the caller knows better
+                # what to do with the time.
+                return refusal, *outcome[1:]
             if outcome is not None:
                 answer = outcome[0]
                 if answer.outcome is Outcome.DONE or not self._may_go_on(work, answer):
@@ -121,14 +128,15 @@
             retry_after_ms=CHANGE_TAKES_MS,
         )
 
-    async def _try_round(self, work, opener, last):
-        """Try each candidate once; return the last answer or None."""
+    async def _try_round(self, work, opener, last, answers):
+        """Try each candidate once; return the last answer or None, and note all."""
         outcome = last
         for copy in self._candidates(work):
             routed = work._replace(upstream=copy.instance)
             answer, owner = await self._try_owners(routed, opener)
             self._note_upstream(copy.instance, answer)
             outcome = answer, copy.instance, owner
+            answers.append(answer)
             if answer.outcome is Outcome.DONE:
                 return outcome
             self._note_failure(routed, answer, owner)
--- a/tests/test_fleet_grey.py
+++ b/tests/test_fleet_grey.py
@@ -1,10 +1,13 @@
 """Databases that fail in part while they look healthy, met by real processes."""
 
+from collections import Counter
+
 import anyio
 import testtools
 
-from bronzescale_core import outliers
+from bronzescale_core import admission, outliers
 from bronzescale_core.placement import PENALTY_MS
+from bronzescale_core.work import Outcome, Reach, WorkAnswer, choose_refusal
 from bronzescale_standins.fleet.world import running_world
 
 READS = 60
@@ -89,3 +92,47 @@
                 self.assertEqual({"DONE"}, set(codes))
 
         anyio.run(run)
+
+
+class TestNoRoomAnywhere(testtools.TestCase):
+    def test_read_that_no_database_has_room_for_is_refused_after_one_round(self):
+        self.patch(admission, "DEFAULT_SERVICE_TIME_MS", 700.0)
+
+        async def run():
+            async with running_world(slots=1, work_s=0.7) as world:
+                callers = [await world.members[0].caller("aged") for _ in range(24)]
+                codes = []
+
+                async def read(caller):
+                    codes.append((await caller.query("READ x")).code)
+
+                async with anyio.create_task_group() as tasks:
+                    for caller in callers:
+                        tasks.start_soon(read, caller)
+                self.assertIn("BUSY", codes)
+                attempts = Counter(
+                    fields["request"]
+                    for fields in world.members[0].log.events("attempt_failed")
+                )
+                self.assertTrue(max(attempts.values()) <= 3, attempts)
+
+        anyio.run(run)
+
+
+class TestChooseRefusal(testtools.TestCase):
+    def _full(self, retry_after_ms):
+        return WorkAnswer(
+            Outcome.BUSY, Reach.NOT_SENT, "full", retry_after_ms=retry_after_ms
+        )
+
+    def test_earliest_time_to_come_back_is_told(self):
+        behind = WorkAnswer(Outcome.BEHIND, Reach.REFUSED)
+        chosen = choose_refusal([self._full(900), behind, self._full(400)])
+        self.assertEqual(400, chosen.retry_after_ms)
+
+    def test_nothing_is_refused_while_another_database_may_take_it(self):
+        unreachable = self._full(300)._replace(is_unreachable=True)
+        self.assertIsNone(choose_refusal([self._full(900), unreachable]))
+        behind = WorkAnswer(Outcome.BEHIND, Reach.REFUSED)
+        self.assertIsNone(choose_refusal([behind]))
+        self.assertIsNone(choose_refusal([]))
