Answer the first readiness question of a starting process when it knows

Cause: the balancer asks each second.

Ruled out: slow lists from the store (10 ms near it, 150 ms from the other region).

Change: a process that isn't ready holds the answer for up to 0.3 s and answers as soon as it is; one that is told to stop says no at once.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -30,6 +30,8 @@
 # Peers and the store are told in this time, or find out by themselves.
 ANNOUNCE_S = 0.5
 POLL_S = 0.05
+# The balancer asks each second; a start takes less than this once the store answers.
+READY_HOLD_S = 0.3
 
 
 class Adapter(NamedTuple):
@@ -170,12 +172,19 @@
 
     def _pages(self):
         pages = {
-            "/metrics": lambda: (200, "text/plain", self._metrics.render()),
+            "/metrics": self._metrics_page,
             "/state": json_page(self.dump),
         }
         return PageServer(pages, self._ready_page)
 
-    def _ready_page(self):
+    async def _metrics_page(self):
+        return 200, "text/plain", self._metrics.render()
+
+    async def _ready_page(self):
+        """Answer whether this process is ready; one that starts may be in a moment."""
+        with anyio.move_on_after(READY_HOLD_S):
+            while not (self.is_ready() or self._stop_asked.is_set()):
+                await self.node.changed.wait()
         is_ready = self.is_ready()
         return 200 if is_ready else 503, "text/plain", b"ready" if is_ready else b"no"
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pages.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pages.py
@@ -16,9 +16,9 @@
 
     Parameters
     ----------
-    pages : dict of str to callable
+    pages : dict of str to coroutine function
         By path; each returns status, content type and body.
-    default : callable
+    default : coroutine function
         Answers every other path.
     """
 
@@ -60,7 +60,7 @@
                 elif isinstance(event, h11.ConnectionClosed):
                     return False
         path = request.target.decode("latin-1").partition("?")[0]
-        status, kind, body = self._pages.get(path, self._default)()
+        status, kind, body = await self._pages.get(path, self._default)()
         headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
         message = connection.send(h11.Response(status_code=status, headers=headers))
         message += connection.send(h11.Data(data=body))
@@ -76,7 +76,7 @@
 def json_page(build):
     """Return a page that shows a document as JSON."""
 
-    def page():
+    async def page():
         return 200, "application/json", json.dumps(build(), default=str).encode()
 
     return page
