Resume copies whose pause has outlived its change of primary

The driver of a change releases the paused copies once, with two tries of 0.45 s; a copy that is busy or out of reach just then stays paused until it restarts. It receives nothing, and its word proves no lead.

Change: the state of a group says up to which term copies were paused. The owner of the primary, which asks every copy for its status anyway, resumes one that is still held for such a term. Pauses of a newer change are above it; a release that crosses one is found by the driver's own check before its order.

--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -68,6 +68,9 @@
         Version of the store object; 0 for one not yet written.
     planned_primary : str
         Copy to promote in a planned change; empty for the most advanced.
+    fenced_term : int
+        Newest term that copies were paused for; in phase ``active`` a pause up to it
+        has outlived its change.
     """
 
     service: str
@@ -80,6 +83,7 @@
     term_starts: tuple = ()
     version: int = 0
     planned_primary: str = ""
+    fenced_term: int = 0
 
 
 def dump_group(state):
@@ -104,6 +108,7 @@
         "nonce": state.nonce,
         "reason": state.reason,
         "planned_primary": state.planned_primary,
+        "fenced_term": state.fenced_term,
         "term_starts": [list(start) for start in state.term_starts],
     }
 
@@ -134,6 +139,7 @@
         term_starts=starts,
         version=version,
         planned_primary=document.get("planned_primary", ""),
+        fenced_term=document.get("fenced_term", 0),
     )
 
 
--- a/packages/bronzescale-core/src/bronzescale_core/succession.py
+++ b/packages/bronzescale-core/src/bronzescale_core/succession.py
@@ -69,7 +69,7 @@
     terms = [c.status.term for c in candidates]
     terms += [c.status.held_term for c in candidates]
     if known is not None:
-        terms.append(known.term)
+        terms += [known.term, known.fenced_term]
     return max(terms, default=0) + 1
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -309,6 +309,7 @@
             async with anyio.create_task_group() as tasks:
                 for instance in others:
                     tasks.start_soon(self._ask, instance, statuses)
+        self._release_left_over(statuses)
         answers = [statuses.get(instance) for instance in others]
         term = self._known_term(primary)
         if term and self.primary == primary and copies_prove_lead(term, answers):
@@ -323,6 +324,37 @@
         if not is_fresh:
             await self._prove_by_store(primary)
 
+    def _release_left_over(self, statuses):
+        """Resume copies whose pause has outlived its change; its driver missed them.
+
+        A paused copy receives nothing, so it falls behind for good and proves no lead.
+        """
+        state = self._node.state(self.service)
+        is_over = state is not None and state.phase is Phase.ACTIVE
+        if not is_over or not self._owns_primary():
+            return
+        for instance, status in statuses.items():
+            if 0 < status.held_term <= state.fenced_term:
+                self._node.tasks.start_soon(self._resume, instance, status.held_term)
+
+    async def _resume(self, instance, term):
+        control = self._node.control(instance)
+        if control is None:
+            return
+        failure = ""
+        try:
+            await control.order(self._node.codec.resume)
+        except UpstreamUnavailableError as error:
+            failure = str(error)
+        self._node.log.believe(
+            "pause_left_over",
+            service=self.service,
+            upstream=instance,
+            term=term,
+            is_resumed=not failure,
+            reason=failure,
+        )
+
     def _known_term(self, primary):
         """Return the term of the primary as far as it is known for certain."""
         state = self._node.state(self.service)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -262,6 +262,7 @@
             nonce=f"{self._node.settings.node}:{now_ms()}",
             reason=f"{trigger.cause.value}: {trigger.reason}",
             version=known.version if known is not None else 0,
+            fenced_term=term,
         )
         self._keeper.lead.revoke()
         try:
--- a/tests/test_fleet_fencing.py
+++ b/tests/test_fleet_fencing.py
@@ -4,6 +4,7 @@
 import testtools
 
 from bronzescale_core.groups import GroupState, Phase
+from bronzescale_core.leadership import PROOF_INTERVAL_MS
 from bronzescale_core.succession import Cause, Trigger
 from bronzescale_proxy.fleet.control import CopyControl
 from bronzescale_proxy.fleet.promotion import ClaimLostError, Promoter
@@ -90,3 +91,49 @@
                 self.assertEqual("rival", node.state(service).writer)
 
         anyio.run(run)
+
+
+class TestLeftOverPause(testtools.TestCase):
+    def test_copy_that_missed_its_release_is_resumed_later(self):
+        """A copy that stays paused falls behind for good."""
+
+        async def run():
+            async with running_world() as world:
+                group = world.group
+                group.primary().stop()
+                await world.until(lambda: _is_change_over(world))
+                left = [d for d in group.databases.values() if d.is_running]
+                replica = next(d for d in left if not d.is_primary)
+                await world.until(lambda: not replica.held_term)
+                # As if the driver's order had been lost.
+                replica.held_term = (
+                    world.members[0].process.node.state(group.service).fenced_term
+                )
+                await world.until(lambda: not replica.held_term)
+
+        anyio.run(run)
+
+    def test_pause_of_a_newer_change_is_left_alone(self):
+        async def run():
+            async with running_world() as world:
+                group = world.group
+                group.primary().stop()
+                await world.until(lambda: _is_change_over(world))
+                left = [d for d in group.databases.values() if d.is_running]
+                replica = next(d for d in left if not d.is_primary)
+                await world.until(lambda: not replica.held_term)
+                state = world.members[0].process.node.state(group.service)
+                replica.held_term = state.fenced_term + 1
+                await anyio.sleep(4 * PROOF_INTERVAL_MS / 1_000)
+                self.assertEqual(state.fenced_term + 1, replica.held_term)
+
+        anyio.run(run)
+
+
+def _is_change_over(world):
+    """Return whether every node knows of a change of primary that has ended."""
+    states = [m.process.node.state(world.group.service) for m in world.members]
+    return all(
+        state is not None and state.phase is Phase.ACTIVE and state.fenced_term
+        for state in states
+    )
