Read recorded traces with the defaults of fields that are newer than they are

Ruled out: a changed decision of the core (all other fields are equal).

Change: recorded actions are read into the core's types before the comparison, as events already are. Every field is still compared, a newer one with its default.

--- a/packages/bronzescale-standins/src/bronzescale_standins/replay.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/replay.py
@@ -28,6 +28,14 @@
         f.CopyCaughtUp,
         f.PlannedChange,
         f.Tick,
+        f.AskEvidence,
+        f.WriteGroup,
+        f.FenceCopy,
+        f.AwaitCopy,
+        f.PromoteCopy,
+        f.FollowCopy,
+        f.PublishGroup,
+        f.NoteStep,
         CopyReport,
         GroupState,
         TermStart,
@@ -108,12 +116,19 @@
     differences = []
     for number, document in enumerate(documents, start=1):
         actions = machine.handle(load(document["event"]), document["now_ms"])
-        replayed = json.loads(json.dumps(to_plain(actions)))
-        if replayed != document["actions"]:
-            differences.append(Difference(number, document["actions"], replayed))
+        # Read and written again, so that a field that is newer than the trace is
+        # compared with its default.
+        recorded = _plain_json(load(document["actions"]))
+        replayed = _plain_json(actions)
+        if replayed != recorded:
+            differences.append(Difference(number, recorded, replayed))
     return machine, differences
 
 
+def _plain_json(actions):
+    return json.loads(json.dumps(to_plain(actions)))
+
+
 def _nonces(documents):
     """Return the marks that the recorded machine drew, in order."""
     return [
