Read the change once more: split, name, explain and log what was silent

Cause: a review of the whole change found answers that were swallowed without a line, literals and limits without a reason, a word of the users' pages inside the product (receipt), the same HTTP loop twice, a floor that was computed twice for one statement, two promises without a test (reborn databases, reused addresses), and large files.

Change: the queue for slots moves from owner to slots; admin and pages read requests with one function; receipt is signature but on the wire; eight silent losses write a bounded line; constants say where they come from; tests/test_fleet_runtime.py becomes three files with all of its 35 tests. Tests for a reused address and for a reborn database. No decision of the program changes.

--- a/packages/bronzescale-core/src/bronzescale_core/admission.py
+++ b/packages/bronzescale-core/src/bronzescale_core/admission.py
@@ -5,9 +5,13 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+# Until statements have been measured; low, so that nothing is refused on a guess.
 DEFAULT_SERVICE_TIME_MS = 5.0
+# Some twenty statements move the smoothed time; one slow statement does not.
 SERVICE_TIME_WEIGHT = 0.05
+# Coming back sooner would meet the same queue.
 MIN_RETRY_AFTER_MS = 50
+# Then a read has its turn, so that saves cannot starve reads.
 MAX_CONSECUTIVE_SAVES = 3
 # A statement that holds its slot for this many usual service times, while later ones
 # came and went, is overdue: the database has lost it, or its answer.
@@ -18,7 +22,8 @@
 MAX_OVERDUE_PER_SLOT = 4
 # The longest statements of known workloads take 60 ms, few of them 300 ms.
 MIN_OVERDUE_MS = 100.0
-# Share of a statement's time that it may wait; the rest is left to run and to return.
+# Share of a statement's time that it may wait. Smaller shares serve no more, see
+# docs/design/partial-failures.md.
 MAX_WAIT_SHARE = 1.0
 
 
--- a/packages/bronzescale-core/src/bronzescale_core/codec.py
+++ b/packages/bronzescale-core/src/bronzescale_core/codec.py
@@ -32,7 +32,7 @@
 class Done(NamedTuple):
     """A statement ended well."""
 
-    receipt: str
+    signature: str
 
 
 class Failed(NamedTuple):
@@ -107,7 +107,7 @@
     def encode_rows(self, rows):
         """Return the messages of an answer's rows."""
 
-    def encode_done(self, receipt):
+    def encode_done(self, signature):
         """Return the message of a success."""
 
     def encode_failed(self, outcome, reason):
--- a/packages/bronzescale-core/src/bronzescale_core/outliers.py
+++ b/packages/bronzescale-core/src/bronzescale_core/outliers.py
@@ -11,7 +11,7 @@
 MIN_FAILURES = 3.0
 # An answer in ten that is lost costs more than the way to another database.
 MAX_FAILURE_SHARE = 0.1
-# As long as a short disturbance; doubled each time, up to most of the long ones.
+# As long as a short fault; doubled each time, up to most of the long ones.
 FIRST_EJECTION_MS = 1_000
 MAX_EJECTION_MS = 4_000
 
--- a/packages/bronzescale-core/src/bronzescale_core/work.py
+++ b/packages/bronzescale-core/src/bronzescale_core/work.py
@@ -190,7 +190,7 @@
         The database's error text, or why there is no answer.
     rows : tuple of str
         Rows of the answer.
-    receipt : str
+    signature : str
         The database's proof that it ran the statement.
     position : Position
         What the database's log held after the statement.
@@ -213,7 +213,7 @@
     reach: Reach = Reach.ANSWERED
     reason: str = ""
     rows: tuple = ()
-    receipt: str = ""
+    signature: str = ""
     position: Position = ORIGIN
     transaction_id: int = NO_TRANSACTION
     retry_after_ms: int = 0
--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -157,7 +157,7 @@
   2: string reach,
   3: string reason,
   4: list<string> rows,
-  5: string receipt,
+  5: string signature,
   6: i64 term,
   7: i64 offset,
   8: i64 transaction_id,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/admin.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/admin.py
@@ -8,10 +8,10 @@
 import h11
 
 from bronzescale_proxy.dump import build_dump
+from bronzescale_proxy.http import receive_request
 
 logger = logging.getLogger("bronzescale.admin")
 
-READ_BYTES = 16 * 1024
 REQUEST_TIMEOUT_S = 5.0
 
 
@@ -39,29 +39,13 @@
         async with stream:
             try:
                 with anyio.fail_after(REQUEST_TIMEOUT_S):
-                    request = await self._read_request(connection, stream)
+                    request = await receive_request(connection, stream)
                     if request is not None:
                         status, document = self._answer(request)
                         await self._write(connection, stream, status, document)
             except (h11.RemoteProtocolError, TimeoutError, anyio.BrokenResourceError):
                 logger.info("admin: dropped a request that was no HTTP.")
 
-    async def _read_request(self, connection, stream):
-        request = None
-        while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                try:
-                    connection.receive_data(await stream.receive(READ_BYTES))
-                except anyio.EndOfStream:
-                    return None
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.EndOfMessage):
-                return request
-            elif isinstance(event, h11.ConnectionClosed):
-                return None
-
     def _answer(self, request):
         method = request.method.decode()
         parts = urlsplit(request.target.decode("ascii", "replace"))
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/checks.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/checks.py
@@ -5,6 +5,7 @@
 
 _NAMES = ("node", "zone", "region")
 _ADDRESSES = ("caller_address", "ready_address", "peer_address", "store_address")
+# Listeners, store, a few peers and a few databases; callers come on top.
 MIN_DESCRIPTORS = 64
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -29,6 +29,7 @@
 STOP_MARGIN_MS = 700
 # Peers and the store are told in this time, or find out by themselves.
 ANNOUNCE_S = 0.5
+# How soon a stopping process notices that it is idle.
 POLL_S = 0.05
 # The balancer asks each second; a start takes less than this once the store answers.
 READY_HOLD_S = 0.3
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/entry.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/entry.py
@@ -230,10 +230,10 @@
             return IDLE
         return TRANSACTION_FAILED if transaction.is_failed else IN_TRANSACTION
 
-    async def _send_done(self, receipt="", rows=(), position=ORIGIN):
+    async def _send_done(self, signature="", rows=(), position=ORIGIN):
         codec = self._codec
         message = codec.encode_rows(rows) if rows else b""
-        message += codec.encode_done(receipt)
+        message += codec.encode_done(signature)
         await self._stream.send(message + codec.encode_ready(self._state, position))
 
     async def _send_failed(self, outcome, reason, request_id):
@@ -402,7 +402,7 @@
         )
         if answer.outcome is Outcome.DONE:
             self._note_done(work, answer, upstream, started_ms)
-            await self._send_done(answer.receipt, answer.rows, answer.position)
+            await self._send_done(answer.signature, answer.rows, answer.position)
             return
         await self._send_failed(*_explain(work, answer), work.request_id)
 
@@ -437,7 +437,7 @@
             if is_over:
                 self._session.transaction = None
             self._note_done(work, answer, upstream, started_ms)
-            await self._send_done(answer.receipt, answer.rows, answer.position)
+            await self._send_done(answer.signature, answer.rows, answer.position)
             return
         outcome, reason = _explain(work, answer)
         if is_over:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lead.py
@@ -44,6 +44,10 @@
 # A node that neither serves nor watches a primary looks this often whether it should;
 # the membership takes several times as long to notice that another node is gone.
 UNUSED_CHECK_S = 0.3
+# A waiter looks this often whether the primary it waits for is still believed in.
+REQUIRE_CHECK_MS = 50
+# The least pause between rounds of questions, when one took as long as its interval.
+MIN_PROOF_PAUSE_MS = 20
 # From the claim on: the wait for the lease, a promotion, and its publication.
 CHANGE_TAKES_MS = LEAD_LEASE_MS + 800
 # How soon a silence or the end of a doubt is noticed.
@@ -133,7 +137,7 @@
             if remaining_ms <= 0 or self.primary not in (instance, None):
                 return False
             event = self._proved
-            with anyio.move_on_after(min(remaining_ms, 50) / 1_000):
+            with anyio.move_on_after(min(remaining_ms, REQUIRE_CHECK_MS) / 1_000):
                 await event.wait()
         return True
 
@@ -164,7 +168,10 @@
         for owner in self._node.owners_of(self.primary):
             try:
                 head = await self._ask_head(owner)
-            except PeerUnavailableError:
+            except PeerUnavailableError as error:
+                self._node.log.decide(
+                    "head_unknown", service=self.service, reason=str(error)
+                )
                 continue
             if head is not None:
                 self.lead.add_sample(HeadSample(head, asked_at_ms))
@@ -193,7 +200,10 @@
         sent_at_ms = now_ms()
         try:
             status = await control.status()
-        except UpstreamUnavailableError:
+        except UpstreamUnavailableError as error:
+            self._node.log.decide(
+                "head_unknown", service=self.service, reason=str(error)
+            )
             return None
         if not status.is_primary:
             return None
@@ -227,7 +237,7 @@
             started_at_ms = now_ms()
             await self._prove(primary)
             left_ms = PROOF_INTERVAL_MS - (now_ms() - started_at_ms)
-            await anyio.sleep(max(20, left_ms) / 1_000)
+            await anyio.sleep(max(MIN_PROOF_PAUSE_MS, left_ms) / 1_000)
 
     async def _rest_until_used(self):
         self._use_began = anyio.Event()
@@ -369,8 +379,13 @@
             return
         try:
             statuses[instance] = await control.status()
-        except UpstreamUnavailableError:
-            return
+        except UpstreamUnavailableError as error:
+            self._node.log.decide(
+                "copy_unanswering",
+                service=self.service,
+                upstream=instance,
+                reason=str(error),
+            )
 
     async def _prove_by_store(self, primary):
         asked_at_ms = now_ms()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -21,6 +21,7 @@
 MAIN = "main"
 # Nodes to try for one database: its zone's first two, then others.
 OWNERS_TO_TRY = 4
+# Small against the second by which a resting transaction may outlive its limit.
 SWEEP_S = 0.25
 # The membership notices a dead node within this time.
 SUSPICION_MS = 1_500
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -2,12 +2,7 @@
 
 import anyio
 
-from bronzescale_core.admission import (
-    AdmissionQueue,
-    Admitted,
-    Refused,
-    WorkClass,
-)
+from bronzescale_core.admission import WorkClass
 from bronzescale_core.codec import IDLE
 from bronzescale_core.leadership import floor_for
 from bronzescale_core.outliers import OutcomeTracker
@@ -24,9 +19,8 @@
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import UpstreamUnavailableError
 from bronzescale_proxy.fleet.pool import LinkPool
+from bronzescale_proxy.fleet.slots import Slots
 
-# Statements that may wait for the slots of one database.
-MAX_QUEUED = 200
 # A commit's answer waits this long for the proof that no other primary leads.
 COMMIT_PROOF_MS = 700
 # Time left to tell the caller that a statement was not run for want of a proof.
@@ -39,6 +33,8 @@
 SILENCE_FACTOR = 4
 # The longest statements of known workloads take 300 ms when slots are free.
 MIN_PATIENCE_MS = 400
+# A rollback that takes longer is left to the close of its connection.
+ROLL_BACK_TIMEOUT_S = 1.0
 # When to come back after a failure that a change of primary will end.
 RETRY_AFTER_FAILURE_MS = 300
 
@@ -81,8 +77,7 @@
         self._node = node
         self._codec = node.codec
         self._pool = LinkPool(copy, node.codec, node.metrics)
-        self._queue = AdmissionQueue(copy.slots, MAX_QUEUED)
-        self._waiting = {}
+        self._slots = Slots(copy.slots)
         self._transactions = {}
         self._next_number = 1
         self._outcomes = OutcomeTracker()
@@ -91,12 +86,12 @@
     @property
     def load(self):
         """Return running and waiting statements per slot."""
-        return (self._queue.queued + self._queue.running) / max(1, self.copy.slots)
+        return self._slots.busy / max(1, self.copy.slots)
 
     @property
     def is_idle(self):
         """Return whether nothing runs, waits or stays open."""
-        return not (self._queue.queued or self._queue.running or self._transactions)
+        return not (self._slots.busy or self._transactions)
 
     def retire(self):
         """Take no new work; connections close as what runs on them ends."""
@@ -129,7 +124,7 @@
             answer = await self._run_admitted(work, opener)
         return answer._replace(
             load=round(self.load, 2),
-            service_ms=self._queue.service_time_ms,
+            service_ms=self._slots.service_time_ms,
             ejected_until_ms=self._outcomes.ejected_until_ms,
         )
 
@@ -138,7 +133,8 @@
         while self._pool.size < self.copy.slots:
             try:
                 await self._pool.add_idle()
-            except UpstreamUnavailableError:
+            except UpstreamUnavailableError as error:
+                self._note_loss("not_warmed_up", error)
                 return
 
     # Transactions
@@ -152,13 +148,13 @@
                 return _not_sent("the transaction has been rolled back")
             transaction.used_at_ms = now_ms()
             transaction.has_written |= work.is_write
-            ticket = self._queue.admit_at_once(work.deadline_ms, now_ms()).ticket
+            ticket = self._slots.take_at_once(work.deadline_ms)
             started_ms = now_ms()
             answer = None
             try:
                 answer = await self._run_step(work, transaction)
             finally:
-                self._finish(ticket, _held_ms(started_ms, answer))
+                self._slots.give_back(ticket, _held_ms(started_ms, answer))
                 if transaction.number in self._transactions:
                     transaction.used_at_ms = now_ms()
         return answer
@@ -198,7 +194,7 @@
         transaction = self._transactions.get(number)
         if transaction is None:
             return
-        with anyio.move_on_after(1.0):
+        with anyio.move_on_after(ROLL_BACK_TIMEOUT_S):
             async with transaction.lock:
                 await self._roll_back_now(transaction)
         self._end(transaction)
@@ -209,7 +205,9 @@
             return
         try:
             (reply,) = await link.run_own([self._codec.rollback])
-        except UpstreamUnavailableError:
+        except UpstreamUnavailableError as error:
+            # The database rolls back what its closed connection left open.
+            self._note_loss("rollback_unanswered", error)
             return
         link.is_usable = reply.is_done and reply.state == IDLE
 
@@ -230,93 +228,39 @@
 
     async def _run_admitted(self, work, opener):
         # What has to wait for a head or for a proof does so without a slot.
-        refused = await self._check_consistency(work)
+        _, refused = await self._check_consistency(work)
         if refused is not None:
             return refused
         is_save = work.is_write or work.needs_lead
         work_class = WorkClass.SAVE if is_save else WorkClass.READ
-        self._deliver(self._queue.release_overdue(now_ms()))
-        decision = self._queue.offer(work_class, work.deadline_ms, now_ms())
-        if isinstance(decision, Refused):
-            return _refused(decision)
-        ticket = decision.ticket
-        if not isinstance(decision, Admitted):
-            refused = await self._wait_for_slot(ticket)
-            if refused is not None:
-                return refused
+        ticket, refused = await self._slots.take(work_class, work.deadline_ms)
+        if refused is not None:
+            return refused
         started_ms = now_ms()
         answer = None
         try:
             answer = await self._run_on_pool(work, opener)
         finally:
-            self._finish(ticket, _held_ms(started_ms, answer))
+            self._slots.give_back(ticket, _held_ms(started_ms, answer))
         return answer
 
-    async def _wait_for_slot(self, ticket):
-        event = anyio.Event()
-        decided = {}
-        self._waiting[ticket.ticket_id] = (event, decided)
-        is_decided = False
-        try:
-            while not is_decided and now_ms() < ticket.deadline_ms:
-                pause_ms = min(self._queue.overdue_ms, ticket.deadline_ms - now_ms())
-                with anyio.move_on_after(max(0, pause_ms) / 1_000):
-                    await event.wait()
-                is_decided = event.is_set()
-                if not is_decided:
-                    self._deliver(self._queue.release_overdue(now_ms()))
-        finally:
-            self._waiting.pop(ticket.ticket_id, None)
-            has_slot = isinstance(decided.get("decision"), Admitted)
-            if not is_decided and not self._queue.withdraw(ticket) and has_slot:
-                # The slot was granted in the moment of giving up.
-                self._finish(ticket, None)
-        decision = decided.get("decision")
-        if is_decided and isinstance(decision, Admitted):
-            return None
-        if isinstance(decision, Refused):
-            return _refused(decision)
-        return WorkAnswer(
-            Outcome.BUSY,
-            Reach.NOT_SENT,
-            "no slot became free in time",
-            retry_after_ms=RETRY_AFTER_FAILURE_MS,
-        )
-
-    def _finish(self, ticket, held_ms):
-        self._deliver(self._queue.finish(ticket, held_ms, now_ms()))
-
-    def _deliver(self, decisions):
-        """Tell those who wait for a slot what became of them."""
-        for decision in decisions:
-            waiting = self._waiting.get(decision.ticket.ticket_id)
-            if waiting is None:
-                if isinstance(decision, Admitted):
-                    self._finish(decision.ticket, None)
-                continue
-            event, decided = waiting
-            decided["decision"] = decision
-            event.set()
-
     # Running
 
     async def _check_consistency(self, work):
-        """Return why this database cannot serve a statement now, or None."""
-        if await self._floor(work) is None:
-            return _NO_HEAD
+        """Return what a statement must see here, and why it cannot run or None."""
+        floor = await self._floor(work)
+        if floor is None:
+            return None, _NO_HEAD
         if not await self._may_lead(work):
             reason = f"{self.copy.instance} is not proven to lead"
-            return _not_sent(reason, Outcome.BUSY, is_unreachable=True)
-        return None
+            return None, _not_sent(reason, Outcome.BUSY, is_unreachable=True)
+        return floor, None
 
     async def _run_on_pool(self, work, opener):
         # The lead may have changed while the statement waited for its slot.
-        refused = await self._check_consistency(work)
+        floor, refused = await self._check_consistency(work)
         if refused is not None:
             return refused
-        floor = await self._floor(work)
-        if floor is None:
-            return _NO_HEAD
         asked_at_ms = now_ms()
         until_ms = self._patience_ends_ms(work, asked_at_ms)
         try:
@@ -429,14 +373,22 @@
         if work.is_write or work.needs_lead or work.step is not WorkStep.SINGLE:
             return work.deadline_ms
         patience_ms = max(
-            MIN_PATIENCE_MS, PATIENCE_FACTOR * self._queue.service_time_ms
+            MIN_PATIENCE_MS, PATIENCE_FACTOR * self._slots.service_time_ms
         )
         is_time_for_another = sent_at_ms + 2 * patience_ms < work.deadline_ms
         return sent_at_ms + patience_ms if is_time_for_another else work.deadline_ms
 
+    def _note_loss(self, event, error):
+        self._node.log.decide(
+            event,
+            service=self.copy.service,
+            upstream=self.copy.instance,
+            reason=str(error),
+        )
+
     def _note_silence(self, waited_ms):
         """Count a silence, unless the database is as slow with all statements."""
-        if waited_ms >= SILENCE_FACTOR * self._queue.service_time_ms:
+        if waited_ms >= SILENCE_FACTOR * self._slots.service_time_ms:
             self._note_outcome(True)
 
     def _note_outcome(self, is_failed):
@@ -458,14 +410,14 @@
                 reply.outcome,
                 Reach.REFUSED,
                 reply.reason,
-                retry_after_ms=int(self._queue.service_time_ms),
+                retry_after_ms=int(self._slots.service_time_ms),
             )
         return WorkAnswer(
             reply.outcome,
             Reach.ANSWERED,
             reply.reason,
             reply.rows,
-            reply.receipt,
+            reply.signature,
             reply.position,
         )
 
@@ -511,15 +463,6 @@
     return now_ms() - started_ms if is_ended else None
 
 
-def _refused(decision):
-    return WorkAnswer(
-        Outcome.BUSY,
-        Reach.NOT_SENT,
-        decision.reason,
-        retry_after_ms=decision.retry_after_ms,
-    )
-
-
 def _not_sent(reason, outcome=Outcome.ABORTED, is_unreachable=False):
     return WorkAnswer(
         outcome,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pages.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pages.py
@@ -5,9 +5,11 @@
 import anyio
 import h11
 
-from bronzescale_proxy.fleet.streams import READ_BYTES
+from bronzescale_proxy.http import receive_request
 
+# A reader that takes no page for this long is gone.
 REQUEST_TIMEOUT_S = 5.0
+# Readers ask each second; a connection without a request for this long is left over.
 IDLE_TIMEOUT_S = 30.0
 
 
@@ -44,21 +46,10 @@
                 return
 
     async def _serve_one(self, connection, stream):
-        request = None
         with anyio.fail_after(IDLE_TIMEOUT_S):
-            while True:
-                event = connection.next_event()
-                if event is h11.NEED_DATA:
-                    try:
-                        connection.receive_data(await stream.receive(READ_BYTES))
-                    except anyio.EndOfStream:
-                        return False
-                elif isinstance(event, h11.Request):
-                    request = event
-                elif isinstance(event, h11.EndOfMessage):
-                    break
-                elif isinstance(event, h11.ConnectionClosed):
-                    return False
+            request = await receive_request(connection, stream)
+        if request is None:
+            return False
         path = request.target.decode("latin-1").partition("?")[0]
         status, kind, body = await self._pages.get(path, self._default)()
         headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -26,6 +26,7 @@
     UpstreamUnavailableError,
 )
 
+# A small part of the silence that a primary is given before it counts as down.
 CHECK_INTERVAL_S = 0.1
 # A node that does not watch the service only looks whether it should.
 IDLE_CHECK_S = 0.3
@@ -40,11 +41,18 @@
 TAKEOVER_AFTER_MS = 4_500
 # An order that has not been answered by then is dropped with its connection.
 ORDER_TIMEOUT_S = 0.8
+# As long as a lease, which a failed change has often waited for in vain.
 RETRY_AFTER_MS = 700
 # Databases that start together have all announced themselves by then.
 LEADERLESS_MS = 5_000
+# Replicas apply within 100 ms when they are well; a late one is not waited for.
 CATCH_UP_MS = 800
+# A tenth of what a promotion takes.
 POLL_S = 0.04
+# One lost answer is made good by asking again; a second loss counts as silence.
+ORDER_TRIES = 2
+# The store may lose some answers; by then the claim is about to end.
+PUBLISH_TRIES = 4
 
 
 class ClaimLostError(StoreError):
@@ -195,7 +203,8 @@
         request = wire.EvidenceRequest(self._service, 0)
         try:
             reply = await self._node.peers.ask(node, request, EVIDENCE_TIMEOUT_S)
-        except PeerUnavailableError:
+        except PeerUnavailableError as error:
+            self._node.log.decide("evidence_missing", peer=node.name, reason=str(error))
             return
         if isinstance(reply, wire.EvidenceReply) and reply.verdict:
             replies.append(reply)
@@ -239,10 +248,17 @@
         control = self._node.control(copy.instance)
         if control is None:
             return
-        for _ in range(2):
+        for _ in range(ORDER_TRIES):
             try:
                 status = await control.order(text)
-            except UpstreamUnavailableError:
+            except UpstreamUnavailableError as error:
+                self._node.log.decide(
+                    "copy_unanswering",
+                    service=self._service,
+                    upstream=copy.instance,
+                    order=text,
+                    reason=str(error),
+                )
                 continue
             found.append(Candidate(copy.instance, copy.zone, copy.is_leaving, status))
             return
@@ -384,7 +400,7 @@
 
     async def _publish(self, state):
         """Write the outcome; a lost answer is settled by reading it back."""
-        for _ in range(4):
+        for _ in range(PUBLISH_TRIES):
             try:
                 await self._node.write_state(state)
                 return
@@ -401,7 +417,10 @@
     async def _read_back(self):
         try:
             return await self._node.read_state(self._service)
-        except StoreError:
+        except StoreError as error:
+            self._node.log.decide(
+                "state_unreadable", service=self._service, reason=str(error)
+            )
             await anyio.sleep(POLL_S)
             return None
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -27,14 +27,17 @@
 WATCHED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
 # The platform lets a watch wait this long; waiting longer costs fewer calls.
 WATCH_WAIT_MS = 20_000
+# A store that turns one call away is asked again within a few of its answers' time.
 RETRY_MIN_S = 0.15
 # An outage must be noticed to have ended soon enough for a configuration.
 RETRY_MAX_S = 0.8
 # A node that knows nothing serves nobody, so it asks more often.
 RETRY_UNINFORMED_S = 0.3
+# Several times the way to another region and back; the next heartbeat pulls again.
 PULL_TIMEOUT_S = 1.0
 # Nodes of a zone that watch the store; they push what changed to the others.
 WATCHERS_PER_ZONE = 2
+# The watchers of a zone change with its members; that is noticed no faster.
 ROLE_CHECK_S = 0.5
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/streams.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/streams.py
@@ -16,8 +16,11 @@
 # Thousands of sessions rest; each probe costs a packet both ways, and a dead caller
 # holds nothing but memory, since its transactions end by their own limit.
 CALLER_KEEPALIVE_S = 30
+# One lost packet is no silence.
 KEEPALIVE_PROBES = 2
+# All callers of a host may come back in the second after its restart.
 ACCEPT_BACKLOG = 1_024
+# As much as the kernel usually holds for a stream.
 READ_BYTES = 65_536
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
@@ -38,7 +38,7 @@
         Text of an error.
     rows : tuple of str
         Rows.
-    receipt : str
+    signature : str
         Proof that the database ran it.
     state : str
         Where the connection stands.
@@ -49,7 +49,7 @@
     outcome: Outcome
     reason: str = ""
     rows: tuple = ()
-    receipt: str = ""
+    signature: str = ""
     state: str = IDLE
     position: Position = ORIGIN
 
@@ -221,7 +221,7 @@
         return Reply(
             Outcome.DONE,
             rows=tuple(rows),
-            receipt=ended.receipt,
+            signature=ended.signature,
             state=ready.state,
             position=ready.position,
         )
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -2319,7 +2319,7 @@
      - reach
      - reason
      - rows
-     - receipt
+     - signature
      - term
      - offset
      - transaction_id
@@ -2336,7 +2336,7 @@
         'reach',
         'reason',
         'rows',
-        'receipt',
+        'signature',
         'term',
         'offset',
         'transaction_id',
@@ -2348,12 +2348,12 @@
     )
 
 
-    def __init__(self, outcome=None, reach=None, reason=None, rows=None, receipt=None, term=None, offset=None, transaction_id=None, retry_after_ms=None, load=None, is_unreachable=None, service_ms=None, ejected_for_ms=None,):
+    def __init__(self, outcome=None, reach=None, reason=None, rows=None, signature=None, term=None, offset=None, transaction_id=None, retry_after_ms=None, load=None, is_unreachable=None, service_ms=None, ejected_for_ms=None,):
         self.outcome = outcome
         self.reach = reach
         self.reason = reason
         self.rows = rows
-        self.receipt = receipt
+        self.signature = signature
         self.term = term
         self.offset = offset
         self.transaction_id = transaction_id
@@ -2399,7 +2399,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.receipt = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.signature = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -2471,9 +2471,9 @@
                 oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.receipt is not None:
-            oprot.writeFieldBegin('receipt', TType.STRING, 5)
-            oprot.writeString(self.receipt.encode('utf-8') if sys.version_info[0] == 2 else self.receipt)
+        if self.signature is not None:
+            oprot.writeFieldBegin('signature', TType.STRING, 5)
+            oprot.writeString(self.signature.encode('utf-8') if sys.version_info[0] == 2 else self.signature)
             oprot.writeFieldEnd()
         if self.term is not None:
             oprot.writeFieldBegin('term', TType.I64, 6)
@@ -3054,7 +3054,7 @@
     (2, TType.STRING, 'reach', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.LIST, 'rows', (TType.STRING, 'UTF8', False), None, ),  # 4
-    (5, TType.STRING, 'receipt', 'UTF8', None, ),  # 5
+    (5, TType.STRING, 'signature', 'UTF8', None, ),  # 5
     (6, TType.I64, 'term', None, None, ),  # 6
     (7, TType.I64, 'offset', None, None, ),  # 7
     (8, TType.I64, 'transaction_id', None, None, ),  # 8
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/database.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/database.py
@@ -15,7 +15,7 @@
 CONNECT_SLOT_S = 0.002
 REPLICATION_POLL_S = 0.004
 OLD_PRIMARY_YIELDS_S = 1.0
-RECEIPT_MARK = "r"
+SIGNATURE_MARK = "r"
 
 
 class Entry(NamedTuple):
@@ -154,6 +154,7 @@
         self.is_primary = False
         self.is_stepped_down = False
         self.is_running = False
+        self.is_listening = False
         self.is_deaf = False
         self.is_silent = False
         self.lose_next_answers = 0
@@ -168,7 +169,7 @@
         self.open_connections = set()
         self.most_connections = 0
         self._slots = anyio.Semaphore(slots)
-        self._receipts = itertools.count(1)
+        self._signatures = itertools.count(1)
         self._scope = None
 
     @property
@@ -202,12 +203,12 @@
         self.port = raw.getsockname()[1]
         with anyio.CancelScope() as self._scope:
             async with await SocketListener.from_socket(raw) as listener:
-                self.is_running = True
+                self.is_running = self.is_listening = True
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._replicate)
                     task_status.started()
                     await listener.serve(self._serve, tasks)
-        self.is_running = False
+        self.is_running = self.is_listening = False
 
     def stop(self):
         """Crash: every connection breaks and nothing listens any more."""
@@ -283,9 +284,9 @@
         self.received_at.append(time.monotonic())
         return entry
 
-    def receipt(self):
-        """Return a new receipt."""
-        return f"{RECEIPT_MARK}.{self.instance}.{next(self._receipts)}"
+    def signature(self):
+        """Return a new signature."""
+        return f"{SIGNATURE_MARK}.{self.instance}.{next(self._signatures)}"
 
     async def _serve(self, stream):
         from bronzescale_standins.fleet.database_session import DatabaseSession
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/database_session.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/database_session.py
@@ -160,7 +160,7 @@
                 return ["ERROR READONLY lost the lead"]
             self._commit(request_id, writes)
             self._end()
-        return [f"DONE {self._database.receipt()}"]
+        return [f"DONE {self._database.signature()}"]
 
     def _commit(self, request_id, writes):
         if writes:
@@ -212,7 +212,7 @@
             value = self._database.value(item, self._transaction or ())
             state = dict(self._values), shape, self._transaction is not None, count
             self._note("read", request_id, (item, value, state))
-        return [f"ROW {value}", f"DONE {self._database.receipt()}"]
+        return [f"ROW {value}", f"DONE {self._database.signature()}"]
 
     async def _write(self, request_id, item, data, shape):
         if not self._leads_still() or self._is_read_only and self._transaction:
@@ -229,7 +229,7 @@
                 self._commit(request_id, [(item, data)])
             else:
                 self._transaction.append((item, data))
-        return [f"DONE {self._database.receipt()}"]
+        return [f"DONE {self._database.signature()}"]
 
     async def _on_status(self, request_id, rest):
         database = self._database
--- /dev/null
+++ b/tests/test_fleet_changes.py
@@ -0,0 +1,158 @@
+"""Changes of primary while callers go on saving."""
+
+import anyio
+import testtools
+
+from bronzescale_standins.fleet.testing import in_loop, is_replaced, primary_of
+from bronzescale_standins.fleet.world import ROUTES, running_world
+
+
+class ChangeOfPrimaryTest(testtools.TestCase):
+    async def keep_writing(self, caller, answers):
+        for number in range(1_000):
+            try:
+                answers.append(await caller.query(f"WRITE x {number}"))
+            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+            await anyio.sleep(0.02)
+
+    def check_order(self, world):
+        tokens = [e.detail[1] for e in world.group.history if e.kind == "order"]
+        self.assertEqual(sorted(tokens), tokens)
+
+    @in_loop
+    async def test_a_crashed_primary_is_replaced_and_no_save_is_lost_silently(self):
+        async with running_world() as world:
+            caller = await world.members[1].caller("lead")
+            answers = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.keep_writing, caller, answers)
+                await anyio.sleep(0.5)
+                world.group.databases["d1"].stop()
+                await world.until(lambda: is_replaced(world))
+                await world.until(lambda: answers[-1].is_done, 10)
+                tasks.cancel_scope.cancel()
+            committed = {
+                e.request_id for e in world.group.history if e.kind == "commit"
+            }
+            for answer in answers:
+                if answer.is_done:
+                    self.assertIn(answer.request_id, committed)
+                elif answer.code != "UNKNOWN":
+                    self.assertNotIn(answer.request_id, committed)
+            self.check_order(world)
+
+    @in_loop
+    async def test_a_leaving_primary_hands_over_without_losing_a_save(self):
+        async with running_world() as world:
+            caller = await world.members[1].caller("lead")
+            answers = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.keep_writing, caller, answers)
+                await anyio.sleep(0.3)
+                world.group.databases["d1"].is_leaving = True
+                await world.until(lambda: is_replaced(world))
+                await world.until(lambda: answers[-1].is_done)
+                tasks.cancel_scope.cancel()
+            done = {answer.request_id for answer in answers if answer.is_done}
+            kept = {entry.request_id for entry in primary_of(world).log}
+            self.assertEqual(set(), done - kept)
+
+    @in_loop
+    async def test_a_silent_primary_is_replaced_and_acknowledges_nothing_after(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("lead")
+            self.assertTrue((await caller.query("WRITE x 1")).is_done)
+            await anyio.sleep(0.05)
+            world.group.databases["d1"].is_silent = True
+            await world.until(lambda: is_replaced(world))
+            promoted = world.group.primary()
+            world.group.databases["d1"].is_silent = False
+            other = await world.members[2].caller("lead")
+            answer = await other.query("WRITE x 2")
+            while not answer.is_done:
+                answer = await other.query("WRITE x 2")
+            read = await caller.query("READ x")
+            while not read.is_done:
+                read = await caller.query("READ x")
+            self.assertEqual(("2",), read.rows)
+            self.assertIn("2", promoted.value("x"))
+
+    @in_loop
+    async def test_a_slow_primary_is_not_replaced(self):
+        async with running_world() as world:
+            world.group.databases["d1"].work_s = 0.4
+            caller = await world.members[0].caller("lead")
+            for _ in range(4):
+                await caller.query("WRITE x 1")
+            self.assertEqual([], [e for e in world.group.history if e.kind == "order"])
+
+    @in_loop
+    async def test_without_the_store_nobody_is_promoted(self):
+        async with running_world() as world:
+            world.platform.faults.is_down = True
+            world.group.databases["d1"].stop()
+            await anyio.sleep(3)
+            self.assertEqual([], [e for e in world.group.history if e.kind == "order"])
+            world.platform.faults.is_down = False
+            await world.until(lambda: is_replaced(world))
+
+    @in_loop
+    async def test_a_claim_whose_answer_was_lost_is_read_back(self):
+        """Its driver goes on; nobody waits for it to be taken over (soak, seed 14)."""
+        async with running_world() as world:
+            world.platform.faults.lose_writes = 1
+            world.group.databases["d1"].is_leaving = True
+            await world.until(lambda: is_replaced(world), 15)
+            state = world.platform.get("bronzescale-groups", "svc")["spec"]
+            self.assertNotIn("left_open", state["reason"])
+
+    @in_loop
+    async def test_a_transaction_is_not_begun_twice_when_an_answer_is_lost(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("lead")
+            self.assertTrue((await caller.query("READ x")).is_done)
+            await caller.query("BEGIN")
+            primary_of(world).lose_next_answers = 1
+            answer = await caller.query("READ x")
+            self.assertEqual(("ABORTED", "E"), (answer.code, answer.state))
+            runs = [e for e in world.group.history if e.request_id == answer.request_id]
+            self.assertEqual(["read", "lost"], [e.kind for e in runs])
+
+    @in_loop
+    async def test_a_change_that_its_driver_left_open_is_finished(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("lead")
+            await caller.query("WRITE x 1")
+            world.platform.faults.is_order_refused = True
+            world.group.databases["d1"].stop()
+
+            def claim():
+                return world.platform.get("bronzescale-groups", "svc")
+
+            await world.until(lambda: claim() is not None)
+            driver = claim()["spec"]["writer"]
+            member = next(m for m in world.members if m.name == driver)
+            member.kill()
+            world.platform.faults.is_order_refused = False
+            await world.until(lambda: is_replaced(world), 15)
+            self.check_order(world)
+
+
+class LeaderlessTest(testtools.TestCase):
+    """Pattern: fail fast; what cannot be served in time does not wait for its end."""
+
+    @in_loop
+    async def test_a_save_is_refused_at_once_while_nobody_can_lead_in_time(self):
+        async with running_world() as world:
+            routes = [{**route, "timeout_ms": 500} for route in ROUTES]
+            world.configure(routes)
+            caller = await world.members[0].caller("lead")
+            self.assertTrue((await caller.query("WRITE x 1")).is_done)
+            world.platform.faults.is_order_refused = True
+            world.group.databases["d1"].is_leaving = True
+            keeper = world.members[0].process.node.keeper("svc")
+            await world.until(lambda: keeper.primary is None)
+            answer = await caller.query("WRITE x 2")
+            self.assertEqual("BUSY", answer.code)
+            self.assertIn("is changing its primary; come back in", answer.text)
--- /dev/null
+++ b/tests/test_fleet_discovery.py
@@ -0,0 +1,193 @@
+"""Configuration, databases and nodes that come and go."""
+
+import anyio
+import testtools
+
+from bronzescale_standins.fleet.database import Group
+from bronzescale_standins.fleet.testing import in_loop
+from bronzescale_standins.fleet.world import ROUTES, running_world
+
+
+class DiscoveryTest(testtools.TestCase):
+    @in_loop
+    async def test_a_configuration_is_in_force_at_once_and_never_goes_back(self):
+        async with running_world() as world:
+            world.configure((*ROUTES, {"host": "later", "type": "primary"}))
+            versions = lambda: {  # noqa: E731
+                m.process.node.configuration.version for m in world.members
+            }
+            await world.until(lambda: versions() == {world.version})
+            caller = await world.members[2].caller("later")
+            self.assertTrue((await caller.query("READ x")).is_done)
+            world.configure(ROUTES)
+            await world.until(lambda: versions() == {world.version})
+            self.assertEqual("NODB", (await caller.query("READ x")).code)
+
+    @in_loop
+    async def test_a_forgotten_history_is_listed_again(self):
+        async with running_world() as world:
+            world.platform.compact()
+            world.configure((*ROUTES, {"host": "later", "type": "primary"}))
+            await world.until(
+                lambda: all(
+                    m.process.node.configuration.version == world.version
+                    for m in world.members
+                )
+            )
+
+    @in_loop
+    async def test_a_node_that_the_store_turns_away_learns_from_its_peers(self):
+        async with running_world() as world:
+            world.platform.faults.is_down = True
+            member = world.members[0]
+            member.kill()
+            await member.ended.wait()
+            member.process = None
+            world.start_member(member)
+            await world.until_ready([member])
+            caller = await member.caller("own")
+            self.assertTrue((await caller.query("READ x")).is_done)
+
+    @in_loop
+    async def test_entries_that_lapsed_with_the_store_are_still_used(self):
+        async with running_world() as world:
+            world.platform.faults.is_down = True
+            await anyio.sleep(0.3)
+            world.is_beating = False
+            for name in world.group.databases:
+                world.platform.delete("servers", name)
+            world.platform.faults.is_down = False
+            await anyio.sleep(0.5)
+            caller = await world.members[0].caller("own")
+            self.assertTrue((await caller.query("READ x")).is_done)
+            world.is_beating = True
+            await anyio.sleep(2.6)
+            self.assertTrue((await caller.query("READ x")).is_done)
+
+    @in_loop
+    async def test_a_missed_configuration_is_found_behind_newer_objects(self):
+        """A newer group state must not hide that a configuration was missed."""
+        async with running_world(nodes=6) as world:
+            member = world.members[0]
+            node = member.process.node
+            stale = node.objects[("configuration", "main")]
+            world.configure((*ROUTES, {"host": "later", "type": "primary"}))
+            await world.until(lambda: node.configuration.version == world.version)
+            node.configuration = node.configuration._replace(version=1)
+            node.objects[("configuration", "main")] = stale
+            newer = stale._replace(kind="groups", name="x", version=10_000, value={})
+            node.objects[("groups", "x")] = newer
+            await world.until(lambda: node.configuration.version == world.version, 4)
+
+
+class LeavingDatabaseTest(testtools.TestCase):
+    @in_loop
+    async def test_a_transaction_ends_at_a_database_whose_entry_is_gone(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("aged")
+            await caller.query("BEGIN READ")
+            self.assertTrue((await caller.query("READ x")).is_done)
+            (read,) = (e for e in world.group.history if e.kind == "read")
+            world.is_beating = False
+            world.platform.delete("servers", read.instance)
+            catalog = world.members[0].process.node.catalog
+            await world.until(lambda: catalog.find(read.instance) is None)
+            self.assertTrue((await caller.query("READ x")).is_done)
+            self.assertTrue((await caller.query("COMMIT")).is_done)
+
+    @in_loop
+    async def test_a_leaving_replica_gets_no_new_work(self):
+        async with running_world() as world:
+            caller = await world.members[1].caller("aged")
+            world.group.databases["d2"].is_leaving = True
+            catalog = world.members[1].process.node.catalog
+            await world.until(lambda: catalog.find("d2").is_leaving)
+            before = len(world.group.history)
+            for _ in range(10):
+                self.assertTrue((await caller.query("READ x")).is_done)
+            used = {e.instance for e in world.group.history[before:]}
+            self.assertNotIn("d2", used)
+
+
+class StoppingTest(testtools.TestCase):
+    @in_loop
+    async def test_a_stopping_node_cuts_no_request(self):
+        async with running_world(work_s=0.01) as world:
+            member = world.members[0]
+            callers = [await member.caller("own") for _ in range(6)]
+            cut = []
+
+            async def work(caller):
+                for _ in range(1_000):
+                    try:
+                        await caller.query("READ x", timeout_s=4)
+                    except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+                        return
+                    except TimeoutError:
+                        cut.append(caller)
+                        return
+                    await anyio.sleep(0.01)
+
+            async with anyio.create_task_group() as tasks:
+                for caller in callers:
+                    tasks.start_soon(work, caller)
+                await anyio.sleep(0.3)
+                member.process.request_stop()
+                self.assertFalse(member.process.is_ready())
+                with anyio.fail_after(5):
+                    await member.ended.wait()
+            self.assertEqual([], cut)
+
+    @in_loop
+    async def test_an_open_transaction_may_end_while_its_node_stops(self):
+        async with running_world() as world:
+            member = world.members[0]
+            caller = await member.caller("lead")
+            await caller.query("BEGIN")
+            await caller.query("WRITE x 1")
+            member.process.request_stop()
+            await anyio.sleep(1.0)
+            await caller.query("WRITE x 2")
+            answer = await caller.query("COMMIT")
+            self.assertEqual("DONE", answer.code)
+
+
+class ReusedIdentityTest(testtools.TestCase):
+    """Databases that come back as something else under what callers' nodes know."""
+
+    @in_loop
+    async def test_a_reused_address_runs_nothing_for_the_database_that_left(self):
+        async with running_world() as world:
+            # The entry stays, as while the store is slow to hear.
+            world.is_beating = False
+            left = world.group.databases["d2"]
+            left.stop()
+            await world.until(lambda: not left.is_listening)
+            strangers = Group("svc")
+            stranger = strangers.add("x1", left.zone)
+            stranger.port = left.port
+            await world.start_database(stranger)
+            for member in world.members:
+                caller = await member.caller("aged")
+                for _ in range(10):
+                    self.assertTrue((await caller.query("READ x")).is_done)
+            self.assertEqual([], [e for e in strangers.history if e.kind == "read"])
+
+    @in_loop
+    async def test_a_reborn_database_serves_nothing_older_than_the_session(self):
+        async with running_world() as world:
+            callers = [await member.caller("own") for member in world.members]
+            for number, caller in enumerate(callers):
+                self.assertTrue((await caller.query(f"WRITE k{number} 1")).is_done)
+            reborn = world.group.databases["d3"]
+            reborn.stop()
+            await world.until(lambda: not reborn.is_listening)
+            reborn.log.clear()
+            reborn.received_at.clear()
+            reborn.born_ms += 1_000
+            reborn.is_deaf = True
+            await world.start_database(reborn)
+            for number, caller in enumerate(callers):
+                for _ in range(10):
+                    read = await caller.query(f"READ k{number}")
+                    self.assertEqual(("1",), read.rows)
