Log what peers and hosts' entries fail to tell

Cause: four more silent losses in the spreader: a seed, a pull, a farewell, an entry that cannot be read.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/spread.py
@@ -166,10 +166,17 @@
             if name == own.name:
                 own_value = item
             else:
-                nodes.append(_load_host(name, item.value))
+                nodes.append(self._load_host(name, item.value))
         self._node.membership.take_list([n for n in nodes if n is not None], set())
         return own_value
 
+    def _load_host(self, name, value):
+        try:
+            return Node(name, value["address"], value["zone"], value["region"])
+        except (KeyError, TypeError) as error:
+            self._node.log.decide("host_unreadable", name=name, reason=repr(error))
+            return None
+
     async def _register(self, own, known):
         revision = known.version if known is not None else 0
         try:
@@ -226,8 +233,8 @@
                 await self.hear(reply)
             if not self.is_informed:
                 await self._pull(node)
-        except PeerUnavailableError:
-            return
+        except PeerUnavailableError as error:
+            self._node.log.decide("seed_silent", address=address, reason=str(error))
 
     async def _send_heartbeat(self, target):
         timeout_s = HEARTBEAT_TIMEOUT_MS / 1_000
@@ -282,8 +289,10 @@
             kinds = different if self.is_informed else ()
             try:
                 await self._pull(sender, kinds)
-            except PeerUnavailableError:
-                return
+            except PeerUnavailableError as error:
+                self._node.log.decide(
+                    "pull_failed", peer=sender.name, kinds=kinds, reason=str(error)
+                )
 
     async def _pull(self, peer, kinds=()):
         reply = await self._node.peers.ask(
@@ -331,16 +340,9 @@
     async def _tell_leaving(self, node, heartbeat):
         try:
             await self._node.peers.ask(node, heartbeat, HEARTBEAT_TIMEOUT_MS / 1_000)
-        except PeerUnavailableError:
-            return
+        except PeerUnavailableError as error:
+            self._node.log.decide("leaving_untold", peer=node.name, reason=str(error))
 
 
 def _dump_host(node):
     return {"address": node.address, "zone": node.zone, "region": node.region}
-
-
-def _load_host(name, value):
-    try:
-        return Node(name, value["address"], value["zone"], value["region"])
-    except (KeyError, TypeError):
-        return None
