Order what the store says by its era, and keep what it lost

Cause: the store may return from a copy some seconds old. Versions were bare revisions, which it then gives out again: restored objects were ignored until revisions passed the old mark, fencing tokens could repeat, a claim that the store had lost was still acted on beside a new one, and a read of the store could renew the lease of a primary that had been replaced.

Ruled out: a separate era beside each version (every comparison, digest and peer message would carry two numbers); tokens from the databases' terms (a copy that is silent would lower them); writing back from every node.

Change: a version is era << 40 + revision, composed in the adapter; the era is learned from any answer and from peers. An answer from before the return is dropped, an unusable era counts as the known one. Watches of an older era end. A group's state holds the era in which it was written; only a state of the current era renews a lease through the store. The owner of the primary writes the state again once the copies confirmed it and lost claims have expired (3.2 s). Drivers whose claim is from an older era stop. A configuration in force, a leaving database and a newer term outlive a store that forgot them. Hosts register again after a random time of up to 2 s.

--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -87,6 +87,7 @@
     version: int = 0
     planned_primary: str = ""
     fenced_term: int = 0
+    era: int = 0
 
 
 def dump_group(state):
@@ -112,6 +113,7 @@
         "reason": state.reason,
         "planned_primary": state.planned_primary,
         "fenced_term": state.fenced_term,
+        "era": state.era,
         "term_starts": [list(start) for start in state.term_starts],
     }
 
@@ -143,6 +145,7 @@
         version=version,
         planned_primary=document.get("planned_primary", ""),
         fenced_term=document.get("fenced_term", 0),
+        era=document.get("era", 0),
     )
 
 
--- a/packages/bronzescale-core/src/bronzescale_core/succession.py
+++ b/packages/bronzescale-core/src/bronzescale_core/succession.py
@@ -3,6 +3,10 @@
 from enum import Enum
 from typing import NamedTuple
 
+# A driver abandons its claim after this time. Other nodes take the change over only
+# later, when the driver no longer acts on it.
+CLAIM_TIMEOUT_MS = 3_000
+
 
 class Cause(Enum):
     """Kind of reason for replacing a primary."""
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/conf.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/conf.py
@@ -32,6 +32,9 @@
         Time within which an accepted configuration must be in force on every node.
     upstream_heartbeat_ms : int
         Interval at which a database refreshes its entry in the store.
+    is_first_start : bool
+        Whether the whole fleet starts for the first time, so that the store cannot have
+        lost anything that the fleet wrote.
     log_lines_per_s : int
         Maximum rate of log lines about requests; further lines are only counted.
     """
@@ -51,4 +54,5 @@
     stop_grace_ms: int = 6_000
     configuration_within_ms: int = 4_000
     upstream_heartbeat_ms: int = 1_200
+    is_first_start: bool = False
     log_lines_per_s: int = 120
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -46,6 +46,9 @@
 PULL_TIMEOUT_S = 1.0
 # Nodes of each zone that watch the store and push changes to the rest of the zone.
 WATCHERS_PER_ZONE = 2
+# Random delay of a node that registers again. Spreads a fleet of 510 nodes to about 255
+# writes a second.
+REGISTRATION_SPREAD_S = 2.0
 # How often a node checks whether it has become a watcher; the membership, on which this
 # depends, changes no faster.
 WATCHER_CHECK_INTERVAL_S = 0.5
@@ -67,6 +70,9 @@
         self._random = random
         self._failing_kinds = set()
         self._listed_kinds = set()
+        self._watch_scopes = set()
+        self._is_registering = False
+        node.store.era.change_listeners.append(self._end_watches)
         self.has_synchronized_from_peer = False
 
     @property
@@ -121,22 +127,34 @@
         listing = await self._node.store.list(kind)
         if kind in self._failing_kinds:
             self._node.catalog.record_outage(now_ms())
-        self._node.apply_list(kind, listing.objects)
+        self._node.apply_list(kind, listing.objects, listing.version)
         if kind == HOSTS:
             await self._apply_hosts()
         self._listed_kinds.add(kind)
         self._update_synchronized()
-        return listing.revision
+        return listing.version
 
     async def _watch_kind(self, kind, revision):
-        changes = await self._node.store.watch(kind, revision, WATCH_WAIT_MS)
+        with anyio.CancelScope() as scope:
+            self._watch_scopes.add(scope)
+            try:
+                changes = await self._node.store.watch(kind, revision, WATCH_WAIT_MS)
+            finally:
+                self._watch_scopes.discard(scope)
+        if scope.cancelled_caught:
+            raise HistoryGoneError("the store returned from a copy; list all again")
         if kind in self._failing_kinds:
             self._node.catalog.record_outage(now_ms())
         applied = [item for item in changes.objects if self._node.apply_object(item)]
         self._push_to_zone(applied)
         if kind == HOSTS and changes.objects:
             await self._apply_hosts()
-        return changes.revision
+        return changes.version
+
+    def _end_watches(self, old, new):
+        """End the watches of an older era; they may never return."""
+        for scope in self._watch_scopes:
+            scope.cancel()
 
     def is_watcher(self):
         """Return whether this node watches the store for its zone."""
@@ -205,15 +223,36 @@
             return None
 
     async def _register(self, own, registered):
-        revision = registered.version if registered is not None else 0
+        version = registered.version if registered is not None else 0
         try:
-            item = await self._node.store.put(
-                HOSTS, own.name, _dump_host(own), revision
-            )
+            item = await self._node.store.put(HOSTS, own.name, _dump_host(own), version)
             self._node.apply_object(item)
-        except StoreConflictError:
+        except StoreConflictError as error:
             # An earlier write succeeded but its answer was lost; the watch returns it.
-            return
+            self._node.log.log_decision("already_registered", reason=str(error))
+
+    async def _register_again(self):
+        """Register this node after the store lost its entry.
+
+        Many nodes may find that out together, so each waits for a random time.
+        """
+        retry_s = self._random.uniform(0, REGISTRATION_SPREAD_S)
+        try:
+            while not self._node.is_stopping:
+                await anyio.sleep(retry_s)
+                own_item = self._merge_hosts()
+                if own_item is not None:
+                    return
+                try:
+                    await self._register(self._node.membership.own, None)
+                    return
+                except StoreError as error:
+                    self._node.log.log_decision(
+                        "registration_failed", reason=str(error)
+                    )
+                    retry_s = self._random.uniform(0.5, 1) * REGISTRATION_SPREAD_S
+        finally:
+            self._is_registering = False
 
     def _update_synchronized(self):
         if self.is_synchronized:
@@ -343,10 +382,18 @@
         applied = [item for item in message.objects if self._node.apply_object(item)]
         if any(item.kind == HOSTS for item in applied):
             self._merge_hosts()
+        if any(self._is_own_deletion(item) for item in applied):
+            self._is_registering = True
+            self._node.tasks.start_soon(self._register_again)
         if message.revision > 0:
             self.has_synchronized_from_peer = True
             self._update_synchronized()
 
+    def _is_own_deletion(self, item):
+        is_own = item.kind == HOSTS and item.name == self._node.settings.node
+        is_due = not self._is_registering and not self._node.is_stopping
+        return is_own and item.value is None and is_due
+
     def answer_objects(self, request):
         """Return the objects that a peer asks for.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
@@ -57,6 +57,16 @@
             "bronzescale_store_reachable", "1 if the store answers.", registry=registry
         )
 
+        self._store_era = Gauge(
+            "bronzescale_store_era",
+            "Newest known era of the store; it rises at each return from a copy.",
+            registry=registry,
+        )
+
+    def set_store_era(self, era):
+        """Set the newest known era of the store."""
+        self._store_era.set(era)
+
     def observe_statement(self, outcome, elapsed_ms):
         """Record one statement."""
         self._statements.labels(outcome).observe(elapsed_ms / 1_000)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -11,6 +11,7 @@
 from bronzescale_core.catalog import Catalog
 from bronzescale_core.groups import Phase, dump_group, load_group
 from bronzescale_core.rendezvous import rank_nodes
+from bronzescale_core.store_era import DIGEST_MASK, era_of, reconcile_group
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
@@ -93,6 +94,10 @@
         self._suspected_until_ms = {}
         self._ranks = {}
         self._ranked_versions = None
+        store.era.change_listeners.append(self._enter_era)
+        store.era.problem_listeners.append(
+            lambda text: self.log.log_decision("era_unusable", reason=text)
+        )
 
     async def run(self):
         """Run until cancelled."""
@@ -125,43 +130,113 @@
         bool
             Whether it was newer and has been applied.
         """
+        self.store.era.learn(era_of(item.version))
         key = (item.kind, item.name)
         known = self.objects.get(key)
         if known is not None and known.version >= item.version:
+            self._apply_superseded(item, known)
             return False
+        if item.kind == CONFIGURATION and not self._is_newer_configuration(item):
+            # The store returned from a copy that lacks the configuration in force.
+            item = item._replace(value=known.value if known is not None else None)
         self.objects[key] = item
-        self._apply(item)
+        self._apply(item, known)
         return True
 
-    def apply_list(self, kind, items):
+    def apply_list(self, kind, items, version):
         """Apply a complete list of the objects of a kind.
 
-        A known object that is not on the list has been deleted.
+        Parameters
+        ----------
+        kind : str
+            The kind.
+        items : list of StoreObject
+            Every object of the kind.
+        version : int
+            Version of the store as of the list. A known object that is not newer and
+            not on the list has been deleted.
         """
         listed = {item.name for item in items}
+        rolled_back_count = 0
         for item in items:
+            known = self.objects.get((kind, item.name))
+            if known is not None and era_of(known.version) < era_of(item.version):
+                rolled_back_count += known.value != item.value
             self.apply_object(item)
-        for known_kind, name in list(self.objects):
-            if known_kind == kind and name not in listed:
-                known = self.objects[(kind, name)]
-                if known.value is not None:
-                    self.apply_object(
-                        known._replace(version=known.version + 1, value=None)
-                    )
+        missing = [
+            known
+            for (known_kind, name), known in self.objects.items()
+            if known_kind == kind
+            and name not in listed
+            and known.value is not None
+            and known.version <= version
+        ]
+        for known in missing:
+            self.apply_object(known._replace(version=version, value=None))
+        if rolled_back_count or missing:
+            self.log.log_state_change(
+                "objects_lost",
+                kind=kind,
+                rolled_back=rolled_back_count,
+                missing=len(missing),
+                era=era_of(version),
+            )
         self.notify()
 
+    def _enter_era(self, old, new):
+        """Note that the store returned from an older copy."""
+        self.log.log_state_change(
+            "store_era", old=old, new=new, settled_at_ms=self.store.era.settled_at_ms()
+        )
+        self.metrics.set_store_era(new)
+        # Databases register again, as after an outage.
+        self.catalog.record_outage(now_ms())
+
+    def _apply_superseded(self, item, known):
+        """Apply what an object still tells although the known one has its version.
+
+        A peer may hold a configuration or a group's state that the store has lost.
+        """
+        is_lost = era_of(item.version) < era_of(known.version)
+        if item.kind == GROUPS and is_lost:
+            self._apply_group(item)
+            return
+        may_differ = is_lost or item.version == known.version
+        if item.kind != CONFIGURATION or not may_differ or item.value == known.value:
+            return
+        if self._is_newer_configuration(item):
+            self.objects[(item.kind, item.name)] = known._replace(value=item.value)
+            self._apply_configuration(item)
+
+    def _is_newer_configuration(self, item):
+        """Return whether a configuration may come into force after the known one."""
+        if self.configuration is None:
+            return True
+        if item.value is None:
+            return False
+        try:
+            configuration = self.documents.decode_configuration(item.value)
+        except self.documents.UnreadableDocumentError as error:
+            self.log.log_state_change("configuration_unreadable", reason=str(error))
+            return False
+        return configuration.version > self.configuration.version
+
     def digests(self):
         """Return a digest of the known objects of each shared kind.
 
         The digest is the sum of the versions of all objects that are not deleted.
         Nodes that hold the same objects at the same versions have equal digests; the
-        newest revision alone would hide that an older object was missed.
+        newest revision alone would hide that an older object was missed. That of the
+        configuration also counts its own version, which may be newer than what the
+        store holds after it returned from a copy.
         """
         version_sums = dict.fromkeys(SHARED_KINDS, 0)
         for item in self.objects.values():
             if item.value is not None and item.kind in version_sums:
                 version_sums[item.kind] += item.version
-        return tuple(version_sums[kind] for kind in SHARED_KINDS)
+        if self.configuration is not None:
+            version_sums[CONFIGURATION] += self.configuration.version
+        return tuple(version_sums[kind] & DIGEST_MASK for kind in SHARED_KINDS)
 
     def objects_of(self, kinds):
         """Return every known object of some kinds, deleted ones included."""
@@ -173,11 +248,14 @@
         self.changed.set()
         self.changed = anyio.Event()
 
-    def _apply(self, item):
+    def _apply(self, item, previous):
         if item.kind == CONFIGURATION and item.name == MAIN_NAME:
             self._apply_configuration(item)
         elif item.kind == UPSTREAMS:
-            self._apply_upstream(item)
+            is_from_copy = previous is not None and era_of(previous.version) < era_of(
+                item.version
+            )
+            self._apply_upstream(item, is_from_copy)
         elif item.kind == GROUPS:
             self._apply_group(item)
         self.notify()
@@ -203,7 +281,7 @@
         for service in configuration.services:
             self.primary_monitor(service)
 
-    def _apply_upstream(self, item):
+    def _apply_upstream(self, item, is_from_copy):
         copy = None
         if item.value is not None:
             copy = self.documents.decode_copy(item.name, item.value)
@@ -213,8 +291,9 @@
                 self.log.log_state_change("upstream_gone", upstream=item.name)
                 self._retire(item.name)
             return
-        if not self.catalog.put(copy):
+        if not self.catalog.put(copy, is_from_copy):
             return
+        copy = self.catalog.find(item.name)
         self.log.log_state_change(
             "upstream_changed",
             upstream=copy.instance,
@@ -232,6 +311,10 @@
 
     def _apply_group(self, item):
         if item.value is None:
+            known = self._group_states.get(item.name)
+            if known is not None:
+                # The next write has to create the object.
+                self._group_states[item.name] = known._replace(version=0)
             return
         try:
             state = load_group(item.value, item.version)
@@ -240,7 +323,11 @@
                 "group_unreadable", name=item.name, reason=repr(error)
             )
             return
+        known = self._group_states.get(state.service)
+        state = reconcile_group(known, state, self.store.era.number)
         self._group_states[state.service] = state
+        if known is not None and state == known._replace(version=state.version):
+            return
         monitor = self.primary_monitor(state.service)
         if state.phase is not Phase.ACTIVE:
             monitor.lease.revoke()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
@@ -17,7 +17,7 @@
     ProbeOutcome,
     Verdict,
 )
-from bronzescale_core.groups import Phase
+from bronzescale_core.groups import GroupState, Phase
 from bronzescale_core.primary_lease import (
     LEASE_RENEWAL_INTERVAL_MS,
     PRIMARY_LEASE_MS,
@@ -29,6 +29,7 @@
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
     PeerUnavailableError,
+    StoreError,
     StoreUnavailableError,
     UpstreamUnavailableError,
 )
@@ -48,6 +49,9 @@
 MONITOR_PROBE_INTERVAL_MS = 1_000
 # An owner in another region answers within 130 ms, including its probe of the primary.
 HEAD_TIMEOUT_S = 0.4
+# Time for which a copy must report a later term than the known one before a change of
+# primary that nobody published is assumed. Publishing takes a few store calls.
+UNKNOWN_SUCCESSOR_AFTER_MS = 1_500
 # Several times the round trip to another region.
 DETECTION_PROBE_TIMEOUT_S = 0.3
 # Timeout of the extra probe made when another monitoring node asks for evidence of a
@@ -98,6 +102,8 @@
         self._reported_term = 0
         self._answered_at_ms = 0
         self._change_started_at_ms = 0
+        self._successor = (None, 0)
+        self._is_confirming = False
 
     @property
     def primary(self):
@@ -132,6 +138,16 @@
             return Finding(Verdict.ALIVE, "not probed yet")
         return self.detector.finding(now_ms())
 
+    def unknown_successor(self):
+        """Return a copy that leads a later term than the known one, or None.
+
+        The store has lost the change that made it the primary, or its driver died
+        before publishing it.
+        """
+        instance, since_ms = self._successor
+        is_due = now_ms() - since_ms >= UNKNOWN_SUCCESSOR_AFTER_MS
+        return instance if instance is not None and is_due else None
+
     async def wait_for_lease(self, instance, until_ms):
         """Wait until a database holds the lease as the primary.
 
@@ -350,15 +366,19 @@
             async with anyio.create_task_group() as tasks:
                 for instance in replicas:
                     tasks.start_soon(self._fetch_status, instance, statuses)
+                if not self._known_term(primary):
+                    tasks.start_soon(self._fetch_term, primary)
         self._resume_left_over_copies(statuses)
         replica_statuses = [statuses.get(instance) for instance in replicas]
         term = self._known_term(primary)
+        self._observe_successor(term, statuses)
         if (
             term
             and self.primary == primary
             and copies_confirm_primary(term, replica_statuses)
         ):
             self._record_renewal(primary, term, asked_at_ms)
+            self._confirm_state(primary, term)
             return
         renewal = self.lease.renewal
         is_fresh = (
@@ -369,6 +389,72 @@
         if not is_fresh:
             await self._renew_through_store(primary)
 
+    def _observe_successor(self, term, statuses):
+        leading = [
+            instance
+            for instance, status in statuses.items()
+            if status.is_primary and term and status.term > term
+        ]
+        if not leading:
+            self._successor = (None, 0)
+        elif self._successor[0] != leading[0]:
+            self._successor = (leading[0], now_ms())
+
+    def _confirm_state(self, primary, term):
+        """Write the state again if the store's own one is from an older era.
+
+        Only the owner of the primary does this, after the copies confirmed the term and
+        every lost claim has expired. Until then, reading the store renews no lease.
+        """
+        era = self._node.store.era
+        known = self._node.state(self.service)
+        if self._is_confirming or era.has_confirmed(known) or not era.may_claim(known):
+            return
+        if not self._owns_primary() or not self._node.is_store_answering:
+            return
+        state = GroupState(
+            service=self.service,
+            term=term,
+            primary=primary,
+            writer=self._node.settings.node,
+            nonce=f"{self._node.settings.node}:{now_ms()}",
+            reason=f"confirmed in era {era.number}",
+            version=known.version if known is not None else 0,
+            fenced_term=known.fenced_term if known is not None else 0,
+            era=era.number,
+        )
+        self._is_confirming = True
+        self._node.tasks.start_soon(self._write_confirmed, state)
+
+    async def _write_confirmed(self, state):
+        failure = ""
+        try:
+            await self._node.write_state(state)
+        except StoreError as error:
+            failure = str(error)
+            await self._read_after_failure()
+        finally:
+            self._is_confirming = False
+        self._node.log.log_state_change(
+            "state_confirmed",
+            service=self.service,
+            primary=state.primary,
+            term=state.term,
+            era=state.era,
+            is_written=not failure,
+            reason=failure,
+        )
+
+    async def _read_after_failure(self):
+        """Learn the stored version, which the next attempt must name."""
+        await anyio.sleep(STORE_RENEWAL_AFTER_MS / 1_000)
+        try:
+            await self._node.read_state(self.service)
+        except StoreError as error:
+            self._node.log.log_decision(
+                "state_unreadable", service=self.service, reason=str(error)
+            )
+
     def _resume_left_over_copies(self, statuses):
         """Resume copies that stayed paused after a change of primary has ended.
 
@@ -425,10 +511,24 @@
                 reason=str(error),
             )
 
+    async def _fetch_term(self, primary):
+        """Ask a primary that no agreed state names for its term."""
+        statuses = {}
+        sent_at_ms = now_ms()
+        await self._fetch_status(primary, statuses)
+        if primary in statuses:
+            self._record_status(primary, statuses[primary], sent_at_ms)
+
     async def _renew_through_store(self, primary):
         asked_at_ms = now_ms()
         try:
             state = await self._node.read_state(self.service)
+            era = self._node.store.era
+            if not era.has_confirmed(state):
+                raise StoreUnavailableError(
+                    f"the store returned from a copy, era {era.number}, and its state "
+                    "of the group is not confirmed yet"
+                )
         except StoreUnavailableError as error:
             self._node.log.log_decision(
                 "lead_unproven",
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -11,7 +11,9 @@
 from bronzescale_core.detection import Verdict
 from bronzescale_core.groups import GroupState, Phase
 from bronzescale_core.primary_lease import LEASE_MARGIN_MS, PRIMARY_LEASE_MS
+from bronzescale_core.store_era import era_of
 from bronzescale_core.succession import (
+    CLAIM_TIMEOUT_MS,
     Candidate,
     Cause,
     Trigger,
@@ -38,9 +40,7 @@
 RANK_DELAY_MS = 350
 # A node whose store calls fail lets the others act first.
 STORE_UNREACHABLE_DELAY_MS = 1_000
-# A driver abandons its claim after CLAIM_TIMEOUT_MS. Other nodes take the change over
-# only later, when the driver no longer acts on it.
-CLAIM_TIMEOUT_MS = 3_000
+# Longer than CLAIM_TIMEOUT_MS, since the driver measures from before its write.
 CLAIM_TAKEOVER_AFTER_MS = 4_500
 # A request to promote without an answer by then is dropped with its connection.
 PROMOTE_TIMEOUT_S = 0.8
@@ -131,6 +131,10 @@
         finding = self._monitor.finding()
         if finding.verdict is Verdict.DOWN:
             return Trigger(Cause.DOWN, primary, finding.reason)
+        successor = self._monitor.unknown_successor()
+        if successor is not None:
+            reason = f"{successor} already leads a later term"
+            return Trigger(Cause.UNFINISHED, primary, reason)
         return None
 
     def _no_primary_trigger(self):
@@ -161,6 +165,8 @@
     def _is_due(self, trigger):
         if self._triggered_at_ms is None:
             self._triggered_at_ms = now_ms()
+        if not self._node.store.era.may_claim(self._node.state(self._service)):
+            return False
         delay_ms = self._node.monitor_rank(self._service) * RANK_DELAY_MS
         if not self._node.is_store_answering:
             delay_ms += STORE_UNREACHABLE_DELAY_MS
@@ -307,17 +313,33 @@
             reason=f"{trigger.cause.value}: {trigger.reason}",
             version=known.version if known is not None else 0,
             fenced_term=term,
+            era=self._node.store.era.number,
         )
         self._monitor.lease.revoke()
         try:
-            return await self._node.write_state(claim)
+            written = await self._node.write_state(claim)
         except StoreConflictError:
+            await self._read_back()
             raise
         except StoreError:
-            known = await self._read_back()
-            if known is None or known.nonce != claim.nonce:
+            written = await self._read_back()
+            if written is None or written.nonce != claim.nonce:
                 raise
-            return known
+        self._require_current_era(written)
+        return written
+
+    def _require_current_era(self, claim):
+        """Raise `ClaimLostError` if the store has returned from a copy meanwhile.
+
+        The store may have lost the claim, or stored it over another one that has the
+        same revision.
+        """
+        era = self._node.store.era.number
+        if claim.era != era or era_of(claim.version) != era:
+            raise ClaimLostError(
+                f"the store returned from a copy, era {era}; the claim of term "
+                f"{claim.term} from era {claim.era} is void"
+            )
 
     async def _catch_up(self, primary, term):
         """Make the old primary step down and wait until a copy has its whole log."""
@@ -385,6 +407,7 @@
     async def _promote(self, chosen, claim, expires_ms):
         """Have the platform promote a copy while this node still holds the claim."""
         while True:
+            self._require_current_era(claim)
             remaining_ms = expires_ms - now_ms()
             known = self._node.state(self._service)
             if remaining_ms <= 0 or known.version != claim.version:
@@ -444,6 +467,7 @@
     async def _publish(self, state):
         """Write the new state; after a failed write, check whether it was stored."""
         for _ in range(PUBLISH_ATTEMPTS):
+            self._require_current_era(state)
             try:
                 await self._node.write_state(state)
                 return
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
@@ -1,14 +1,17 @@
 """Stand in for the platform's object store and its API for promotions."""
 
 import time
+from collections import deque
 
 import anyio
 import uvicorn
 from starlette.applications import Starlette
+from starlette.middleware.base import BaseHTTPMiddleware
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
 from bronzescale_platform.objects import (
+    ERA_HEADER,
     HOLDER_HEADER,
     OBJECTS_PATH,
     PROMOTE_PATH,
@@ -43,17 +46,22 @@
         self.groups = groups
         self.faults = ObjectFaults()
         self.revision = 1
+        # None for a store that reports no era.
+        self.era = 1
         self.calls = 0
+        # Times of the newest calls, to measure their rate.
+        self.call_times_s = deque(maxlen=100_000)
         self.oldest_revision = 0
         self._objects = {}
         self._history = []
+        self._undo = []
         self._changed = anyio.Event()
         self.port = 0
 
     def app(self):
         """Return the ASGI application."""
         path = OBJECTS_PATH + "/{kind}"
-        return Starlette(
+        app = Starlette(
             routes=[
                 Route(path, self._handle_collection, methods=["GET", "POST"]),
                 Route(
@@ -64,6 +72,14 @@
                 Route(PROMOTE_PATH, self._handle_promotion, methods=["POST"]),
             ]
         )
+        app.add_middleware(BaseHTTPMiddleware, dispatch=self._add_era)
+        return app
+
+    async def _add_era(self, request, call_next):
+        response = await call_next(request)
+        if self.era is not None:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
 
     # Objects
 
@@ -95,6 +111,7 @@
             "spec": spec,
             "status": None,
         }
+        self._undo.append((time.monotonic(), (kind, name), existing))
         self._objects[(kind, name)] = document
         self._append_change(kind, document, False)
         return document
@@ -104,6 +121,7 @@
         existing = self._objects.pop((kind, name), None)
         if existing is not None:
             self.revision += 1
+            self._undo.append((time.monotonic(), (kind, name), existing))
             meta = {**existing["meta"], "revision": self.revision}
             self._append_change(kind, {**existing, "meta": meta}, True)
 
@@ -111,12 +129,41 @@
         """Return an object or None."""
         return self._objects.get((kind, name))
 
+    def list_keys(self):
+        """Return the kind and the name of every object."""
+        return set(self._objects)
+
     def compact(self):
         """Discard the history, so that open watches get 410 and must list again."""
         self._history.clear()
         self.oldest_revision = self.revision
         self._notify_watches()
 
+    def restore_copy(self, lost_s):
+        """Return to the state of some seconds ago, as from a copy.
+
+        The changes since then are gone and their revisions are given out again; the era
+        rises by one.
+
+        Parameters
+        ----------
+        lost_s : float
+            Age of the copy.
+        """
+        restored_to_s = time.monotonic() - lost_s
+        while self._undo and self._undo[-1][0] > restored_to_s:
+            _, key, previous = self._undo.pop()
+            if previous is None:
+                del self._objects[key]
+            else:
+                self._objects[key] = previous
+            self.revision -= 1
+        self._history = [c for c in self._history if c[0] <= self.revision]
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        if self.era is not None:
+            self.era += 1
+        self._notify_watches()
+
     def _append_change(self, kind, document, is_deleted):
         self._history.append((self.revision, kind, document, is_deleted))
         if len(self._history) > MAX_HISTORY_CHANGES:
@@ -132,6 +179,7 @@
     async def _apply_faults(self, request):
         """Count a call and delay it; return the error response if the store is down."""
         self.calls += 1
+        self.call_times_s.append(time.monotonic())
         if self.faults.delay_s:
             await anyio.sleep(self.faults.delay_s)
         if self.faults.is_down:
@@ -172,7 +220,8 @@
         since_revision = int(query["watch"])
         deadline_s = time.monotonic() + int(query.get("wait_ms", 0)) / 1_000
         while True:
-            if since_revision < self.oldest_revision or self.faults.is_down:
+            is_known = self.oldest_revision <= since_revision <= self.revision
+            if not is_known or self.faults.is_down:
                 status = 503 if self.faults.is_down else 410
                 return JSONResponse({"error": "gone"}, status)
             events = [
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -70,6 +70,7 @@
                 for member in self.soak.members[:3]
             ),
             "limits.max_fds": 1024,
+            "bootstrap": str(self.process is None).lower(),
             "bounds.grace_s": STOP_GRACE_S,
             "platform.address": self.store.address,
             "cloud_api.address": self.store.address,
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_faults.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_faults.py
@@ -146,6 +146,14 @@
     soak.platform.compact()
 
 
+async def store_restored(soak, rng):
+    """Return the store from a copy some seconds old, at times twice in a row."""
+    for _ in range(rng.choice((1, 1, 2))):
+        await soak.world.restore_store(
+            rng.uniform(0.2, 8.0), rng.uniform(0.0, 2.0), rng.uniform(0.1, 1.0)
+        )
+
+
 async def configure(soak, rng):
     """Change the configuration several times in a row."""
     for _ in range(rng.randint(1, 4)):
@@ -182,6 +190,7 @@
         store_slow,
         store_loses_answers,
         store_forgets,
+        store_restored,
         configure,
         replace_primary,
     )
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -8,9 +8,11 @@
 
 import anyio
 
+from bronzescale_core.store_era import StoreEra
 from bronzescale_platform import documents
 from bronzescale_platform.line_codec import PlatformLineCodec
 from bronzescale_platform.objects import HttpClient, ObjectStore, PromotionClient
+from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.fleet.compose import Adapter, FleetProcess
 from bronzescale_proxy.fleet.conf import FleetSettings
 from bronzescale_proxy.fleet.metrics import FleetMetrics
@@ -96,6 +98,7 @@
             store_address=f"127.0.0.1:{self.world.platform.port}",
             orders_address=f"127.0.0.1:{self.world.platform.port}",
             stop_grace_ms=4_000,
+            is_first_start=self.world.is_first_start,
         )
 
     async def run(self):
@@ -105,6 +108,7 @@
         store = ObjectStore(
             HttpClient(settings.store_address, metrics),
             HttpClient(settings.store_address, metrics),
+            StoreEra(now_ms, settings.is_first_start),
         )
         promotion_client = PromotionClient(
             HttpClient(settings.orders_address, metrics), settings.node
@@ -152,6 +156,7 @@
         self.version = 0
         self.tasks = None
         self.sends_heartbeats = True
+        self.is_first_start = True
 
     def seeds(self):
         """Return the peer addresses of the first nodes, which new nodes contact."""
@@ -177,8 +182,29 @@
             "services": [{"name": "svc", "max_conns": 21, "sync_replicas": 0}],
             "limits": {"tx_idle_ms": 3_000, "max_body_bytes": 262_144, **limits},
         }
+        self._configuration = spec
         self.platform.put("config", "main", spec)
 
+    async def restore_store(self, lost_s, away_s=0.3, rewrite_after_s=0.5):
+        """Take the store away and return it from a copy.
+
+        Parameters
+        ----------
+        lost_s : float
+            Age of the copy.
+        away_s : float
+            How long the store is away.
+        rewrite_after_s : float
+            After what time the operator writes the configuration again. Databases
+            register again at their next heartbeat.
+        """
+        self.platform.faults.is_down = True
+        await anyio.sleep(away_s)
+        self.platform.restore_copy(lost_s)
+        self.platform.faults.is_down = False
+        await anyio.sleep(rewrite_after_s)
+        self.platform.put("config", "main", self._configuration)
+
     async def _send_heartbeats(self):
         """Register the databases at regular intervals, as their heartbeats would."""
         while True:
@@ -187,25 +213,33 @@
                     self.register(database)
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
+    def register_as_ready(self, name):
+        """Write an entry that does not say that the database is leaving."""
+        self._put_entry(self.group.databases[name], "ready")
+
     def register(self, database):
         """Write a database's entry in the store; delete it if the database is down."""
         name = database.instance
         if not database.is_running:
             self.platform.delete("servers", name)
             return
+        is_leaving = getattr(database, "is_leaving", False)
+        self._put_entry(database, "draining" if is_leaving else "ready")
+
+    def _put_entry(self, database, state):
         spec = {
             "service": "svc",
             "address": getattr(database, "published_address", database.address),
             "zone": database.zone,
             "version": "v1",
             "slots": database.slots,
-            "state": "draining" if getattr(database, "is_leaving", False) else "ready",
+            "state": state,
             "cold_left_ms": 0,
             "db_role": "primary" if database.is_primary else "replica",
             "seq": 1,
             "born": database.started_at_ms,
         }
-        self.platform.put("servers", name, spec)
+        self.platform.put("servers", database.instance, spec)
 
     async def start_database(self, database):
         """Start a database and wait until it listens."""
@@ -257,5 +291,6 @@
         for member in world.members:
             world.start_member(member)
         await world.wait_until_ready()
+        world.is_first_start = False
         yield world
         tasks.cancel_scope.cancel()
