Run no timers for services that a host has no part in; survive unexpected errors

Cause: each host ran three loops a service, asked four times every half second whether it watches the store, ranked the ring and summed all digests for every heartbeat, and started a task group for every relayed statement.

Ruled out: imports (0.2 s a start, the byte code is cached).

Change: roles for a service are worked out when membership, catalog or a group changes; loops wait for an event until then. Digests, heartbeat targets and the watcher role are kept until what they depend on changes. A relayed statement uses a timer of the loop instead of two tasks.

Frames and tasks are guarded now: the connection closes, the task is logged as `task_failed` and runs again.

--- a/packages/bronzescale-core/src/bronzescale_core/membership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/membership.py
@@ -58,6 +58,8 @@
         self._rumors = {}
         self._listed = {}
         self.version = 0
+        # Version and targets of the newest computation.
+        self._targets = None
 
     @property
     def own(self):
@@ -147,6 +149,8 @@
         list of Node
             Successors of this node on a hash ring, most of them in its own zone.
         """
+        if self._targets is not None and self._targets[0] == self.version:
+            return self._targets[1]
         own_score = score("ring", self._own.name)
 
         def ring_distance(member):
@@ -156,7 +160,9 @@
         nodes = [member.node for member in ordered]
         same_zone = [node for node in nodes if node.zone == self._own.zone]
         other_zones = [node for node in nodes if node.zone != self._own.zone]
-        return same_zone[:SAME_ZONE_TARGETS] + other_zones[:OTHER_ZONE_TARGETS]
+        targets = same_zone[:SAME_ZONE_TARGETS] + other_zones[:OTHER_ZONE_TARGETS]
+        self._targets = self.version, targets
+        return targets
 
     def outgoing_rumors(self):
         """Return the rumors to send with the next heartbeat, least sent first.
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -19,6 +19,7 @@
 from bronzescale_proxy.fleet.promotion import Promoter
 from bronzescale_proxy.fleet.serving import FleetService
 from bronzescale_proxy.fleet.streams import bind_listener, wrap_listener
+from bronzescale_proxy.fleet.supervision import SupervisedTasks, guard_handler
 from bronzescale_proxy.peers import PeerClient, PeerServer
 
 # The load balancer stops sending callers after two failed readiness checks, which are
@@ -136,7 +137,7 @@
             random_seed = f"{settings.node}:{wall_ms()}"
             self._disseminator = Disseminator(self.node, random.Random(random_seed))
             self.node.new_service_listeners.append(
-                lambda service: tasks.start_soon(
+                lambda service: self.node.tasks.keep_running(
                     Promoter(self.node, self._adapter.promotion_client, service).run
                 )
             )
@@ -165,8 +166,9 @@
             await self._serve(
                 settings.caller_address, self._callers.serve_stream, stack, tasks
             )
-            tasks.start_soon(self.node.run)
-            tasks.start_soon(self._disseminator.run)
+            supervised = SupervisedTasks(tasks, self._log)
+            supervised.keep_running(self.node.run)
+            supervised.keep_running(self._disseminator.run)
             if self._handles_signals:
                 tasks.start_soon(self._handle_signals)
             self._log.log_state_change("started", zone=settings.zone)
@@ -179,7 +181,9 @@
     async def _serve(self, address, handler, stack, tasks):
         listener = await wrap_listener(bind_listener(address))
         stack.push_async_callback(_close_shielded, listener)
-        tasks.start_soon(listener.serve, handler)
+        # Sessions run outside of the listener, so that they outlive an error of it.
+        handler = guard_handler(self._log, handler)
+        SupervisedTasks(tasks, self._log).keep_running(listener.serve, handler, tasks)
 
     def _build_page_server(self):
         pages = {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
@@ -21,13 +21,11 @@
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_proxy.fleet.owner_watch import OwnerWatch
 
 # Time after a statement's deadline by which its owner has answered. Giving up earlier
 # would lose the answer with which the owner reports its own timeout.
 RELAY_TIMEOUT_MARGIN_MS = 250
-# An owner that has not answered by then is pinged, so that a read leaves an owner that
-# hangs well before its deadline.
-OWNER_PING_DELAY_S = 0.3
 # Backoff between two rounds over all candidates; it doubles up to the maximum.
 RETRY_BACKOFF_MIN_MS = 25
 RETRY_BACKOFF_MAX_MS = 120
@@ -259,28 +257,10 @@
         A write waits until its timeout, since its answer may still come and it must
         not run at another database.
         """
-        answers = []
-        failures = []
-
-        async def send_request():
-            try:
-                answers.append(await self._node.peers.request(owner, work, timeout_s))
-            except PeerUnavailableError as error:
-                failures.append(error)
-            tasks.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(send_request)
-            await anyio.sleep(OWNER_PING_DELAY_S)
-            if not await self._node.ping(owner):
-                self._node.mark_suspect(owner)
-                if not (may_commit(work) or work.is_write):
-                    text = f"{owner.name} went silent"
-                    failures.append(PeerUnavailableError(text, True))
-                    tasks.cancel_scope.cancel()
-        if answers:
-            return answers[0]
-        raise failures[0]
+        may_give_up = not (may_commit(work) or work.is_write)
+        with OwnerWatch(self._node, owner, may_give_up):
+            return await self._node.peers.request(owner, work, timeout_s)
+        raise PeerUnavailableError(f"{owner.name} went silent", True)
 
 
 def may_commit(work):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -29,6 +29,7 @@
     SHARED_KINDS,
     UPSTREAMS,
 )
+from bronzescale_proxy.fleet.supervision import SupervisedTasks
 
 WATCHED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
 # Longest wait of a watch that the platform allows; shorter waits cost more calls.
@@ -72,6 +73,8 @@
         self._listed_kinds = set()
         self._watch_scopes = set()
         self._is_registering = False
+        self._watcher_version = None
+        self._is_watcher = False
         node.store.era.change_listeners.append(self._end_watches)
         self.has_synchronized_from_peer = False
 
@@ -87,9 +90,10 @@
         self._set_seeds()
         self._node.membership.announce_self()
         async with anyio.create_task_group() as tasks:
+            supervised = SupervisedTasks(tasks, self._node.log)
             for kind in WATCHED_KINDS:
-                tasks.start_soon(self._follow_kind, kind)
-            tasks.start_soon(self._send_heartbeats)
+                supervised.keep_running(self._follow_kind, kind)
+            supervised.keep_running(self._send_heartbeats)
 
     # Store
 
@@ -158,6 +162,13 @@
 
     def is_watcher(self):
         """Return whether this node watches the store for its zone."""
+        version = self._node.membership.version
+        if version != self._watcher_version:
+            self._watcher_version = version
+            self._is_watcher = self._is_first_in_zone()
+        return self._node.is_stopping or self._is_watcher
+
+    def _is_first_in_zone(self):
         zone = self._node.settings.zone
         zone_nodes = [
             node
@@ -166,7 +177,7 @@
         ]
         ranked = rank_nodes(f"store-watch/{zone}", zone_nodes)[:WATCHERS_PER_ZONE]
         own = self._node.settings.node
-        return self._node.is_stopping or any(node.name == own for node in ranked)
+        return any(node.name == own for node in ranked)
 
     def _push_to_zone(self, applied):
         if applied:
@@ -267,7 +278,8 @@
         self._seeds = [s for s in self._node.settings.seeds if s != own.address]
 
     async def _send_heartbeats(self):
-        async with anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as group:
+            tasks = SupervisedTasks(group, self._node.log)
             while True:
                 targets = self._node.membership.heartbeat_targets()
                 for target in targets:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -18,6 +18,7 @@
 from bronzescale_proxy.fleet.control import CopyControl
 from bronzescale_proxy.fleet.owner import CopyOwner
 from bronzescale_proxy.fleet.primary_monitor import PrimaryMonitor
+from bronzescale_proxy.fleet.supervision import SupervisedTasks
 
 CONFIGURATION = "configuration"
 UPSTREAMS = "upstreams"
@@ -92,6 +93,9 @@
         self._controls = {}
         self.new_service_listeners = []
         self._suspected_until_ms = {}
+        self._digests = None
+        self._group_version = 0
+        self._role_versions = None
         self._ranks = {}
         self._ranked_versions = None
         store.era.change_listeners.append(self._enter_era)
@@ -101,20 +105,26 @@
 
     async def run(self):
         """Run until cancelled."""
-        async with anyio.create_task_group() as self.tasks:
+        async with anyio.create_task_group() as tasks:
+            self.tasks = SupervisedTasks(tasks, self.log)
             try:
                 self.tasks.start_soon(self.warm_up)
                 for service in list(self._primary_monitors):
                     self._start_primary_monitor(service)
-                while True:
-                    self.sweep()
-                    await anyio.sleep(SWEEP_INTERVAL_S)
+                self.tasks.keep_running(self._maintain)
+                await anyio.sleep_forever()
             finally:
                 for owner in self._owners.values():
                     owner.close()
                 for control in self._controls.values():
                     control.close()
 
+    async def _maintain(self):
+        while True:
+            self._update_roles()
+            self.sweep()
+            await anyio.sleep(SWEEP_INTERVAL_S)
+
     # Objects
 
     def apply_object(self, item):
@@ -140,6 +150,7 @@
             # The store returned from a copy that lacks the configuration in force.
             item = item._replace(value=known.value if known is not None else None)
         self.objects[key] = item
+        self._digests = None
         self._apply(item, known)
         return True
 
@@ -206,6 +217,7 @@
             return
         if self._is_newer_configuration(item):
             self.objects[(item.kind, item.name)] = known._replace(value=item.value)
+            self._digests = None
             self._apply_configuration(item)
 
     def _is_newer_configuration(self, item):
@@ -230,13 +242,16 @@
         configuration also counts its own version, which may be newer than what the
         store holds after it returned from a copy.
         """
+        if self._digests is not None:
+            return self._digests
         version_sums = dict.fromkeys(SHARED_KINDS, 0)
         for item in self.objects.values():
             if item.value is not None and item.kind in version_sums:
                 version_sums[item.kind] += item.version
         if self.configuration is not None:
             version_sums[CONFIGURATION] += self.configuration.version
-        return tuple(version_sums[kind] & DIGEST_MASK for kind in SHARED_KINDS)
+        self._digests = tuple(version_sums[kind] & DIGEST_MASK for kind in SHARED_KINDS)
+        return self._digests
 
     def objects_of(self, kinds):
         """Return every known object of some kinds, deleted ones included."""
@@ -323,6 +338,7 @@
                 "group_unreadable", name=item.name, reason=repr(error)
             )
             return
+        self._group_version += 1
         known = self._group_states.get(state.service)
         state = reconcile_group(known, state, self.store.era.number)
         self._group_states[state.service] = state
@@ -423,10 +439,24 @@
         return list(self._primary_monitors.values())
 
     def _start_primary_monitor(self, service):
-        self.tasks.start_soon(self._primary_monitors[service].run)
+        self.tasks.keep_running(self._primary_monitors[service].run)
         for listener in self.new_service_listeners:
             listener(service)
 
+    def _update_roles(self):
+        """Update what this node does for each service, if that can have changed."""
+        versions = (
+            self.membership.version,
+            self.catalog.version,
+            self._group_version,
+            len(self._primary_monitors),
+        )
+        if versions == self._role_versions:
+            return
+        self._role_versions = versions
+        for monitor in self._primary_monitors.values():
+            monitor.update_role()
+
     def monitors_primary(self, service):
         """Return whether this node is a monitoring node of a service.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
@@ -57,9 +57,6 @@
 # Timeout of the extra probe made when another monitoring node asks for evidence of a
 # failure.
 EVIDENCE_PROBE_TIMEOUT_S = 0.25
-# Bounds the delay until a node notices that it has to renew a lease or probe a primary.
-# The membership takes several times as long to notice that another node has failed.
-IDLE_CHECK_INTERVAL_S = 0.3
 # Bounds the delay until a wait for a lease ends because the primary was replaced.
 PRIMARY_CHECK_INTERVAL_MS = 50
 # Shortest pause after a renewal that took its whole interval; without it, slow copies
@@ -97,6 +94,9 @@
         self._probed_primary = ""
         self._used_at_ms = 0
         self._use_started = anyio.Event()
+        self.is_monitoring = False
+        self._owns_primary = False
+        self._role_changed = anyio.Event()
         self._lease_renewed = anyio.Event()
         self._head_lock = anyio.Lock()
         self._reported_term = 0
@@ -112,6 +112,26 @@
             self._node.catalog.copies(self.service), self._node.state(self.service)
         )
 
+    def update_role(self):
+        """Find out whether this node monitors or owns the primary now.
+
+        A node with neither role runs no timers for the service.
+        """
+        primary = self.primary
+        is_monitoring = self._node.monitors_primary(self.service)
+        owns = primary is not None and self._node.is_preferred_owner(primary)
+        if (is_monitoring, owns) == (self.is_monitoring, self._owns_primary):
+            return
+        self.is_monitoring, self._owns_primary = is_monitoring, owns
+        self._role_changed.set()
+        self._role_changed = anyio.Event()
+        self._use_started.set()
+
+    async def wait_until_monitoring(self):
+        """Wait until this node is a monitoring node of the service."""
+        while not self.is_monitoring:
+            await self._role_changed.wait()
+
     def record_change_start(self):
         """Record when this node learned that a change of primary has started."""
         self._change_started_at_ms = now_ms()
@@ -265,39 +285,37 @@
             tasks.start_soon(self._renew_periodically)
             tasks.start_soon(self._probe_periodically)
 
-    def _owns_primary(self):
-        return self.primary is not None and self._node.is_preferred_owner(self.primary)
-
     async def _renew_periodically(self):
         while True:
             primary = self.primary
             is_used = now_ms() - self._used_at_ms < LEASE_IDLE_TIMEOUT_MS
-            if primary is None or not (is_used or self._owns_primary()):
-                await self._wait_until_used()
+            if not (is_used or self._owns_primary):
+                self._use_started = anyio.Event()
+                await self._use_started.wait()
+                continue
+            if primary is None:
+                await anyio.sleep(PRIMARY_CHECK_INTERVAL_MS / 1_000)
                 continue
             started_at_ms = now_ms()
             await self._renew_lease(primary)
             remaining_ms = LEASE_RENEWAL_INTERVAL_MS - (now_ms() - started_at_ms)
             await anyio.sleep(max(MIN_RENEWAL_PAUSE_MS, remaining_ms) / 1_000)
 
-    async def _wait_until_used(self):
-        self._use_started = anyio.Event()
-        with anyio.move_on_after(IDLE_CHECK_INTERVAL_S):
-            await self._use_started.wait()
-
     async def _probe_periodically(self):
         while True:
+            await self.wait_until_monitoring()
             primary = self.primary
-            if primary is None or not self._node.monitors_primary(self.service):
-                await anyio.sleep(IDLE_CHECK_INTERVAL_S)
+            if primary is None:
+                await anyio.sleep(PROBE_CHECK_INTERVAL_S)
                 continue
             if self._probed_primary != primary:
                 self._probed_primary = primary
                 self._answered_at_ms = now_ms()
                 self.detector = FailureDetector(now_ms(), DETECTION_LIMITS)
-            is_owner = self._owns_primary()
             interval_ms = (
-                OWNER_PROBE_INTERVAL_MS if is_owner else MONITOR_PROBE_INTERVAL_MS
+                OWNER_PROBE_INTERVAL_MS
+                if self._owns_primary
+                else MONITOR_PROBE_INTERVAL_MS
             )
             is_suspected = self.detector.finding(now_ms()).verdict is not Verdict.ALIVE
             if is_suspected or now_ms() - self._answered_at_ms >= interval_ms:
@@ -410,7 +428,7 @@
         known = self._node.state(self.service)
         if self._is_confirming or era.has_confirmed(known) or not era.may_claim(known):
             return
-        if not self._owns_primary() or not self._node.is_store_answering:
+        if not self._owns_primary or not self._node.is_store_answering:
             return
         state = GroupState(
             service=self.service,
@@ -463,7 +481,7 @@
         """
         state = self._node.state(self.service)
         is_change_over = state is not None and state.phase is Phase.ACTIVE
-        if not is_change_over or not self._owns_primary():
+        if not is_change_over or not self._owns_primary:
             return
         for instance, status in statuses.items():
             if 0 < status.paused_term <= state.fenced_term:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -31,8 +31,6 @@
 
 # Small compared with the silence after which a primary counts as down.
 CHECK_INTERVAL_S = 0.1
-# A node that does not monitor the primary only checks whether it has to.
-IDLE_CHECK_INTERVAL_S = 0.3
 # Covers the other node's probe of the primary and the round trip to that node.
 EVIDENCE_TIMEOUT_S = 0.4
 # Added once for each monitoring node ahead in rank, so that the first usually acts
@@ -92,10 +90,8 @@
     async def run(self):
         """Look for a reason to change the primary, and act on it, until cancelled."""
         while True:
-            is_monitoring = self._node.monitors_primary(self._service)
-            await anyio.sleep(
-                CHECK_INTERVAL_S if is_monitoring else IDLE_CHECK_INTERVAL_S
-            )
+            await self._monitor.wait_until_monitoring()
+            await anyio.sleep(CHECK_INTERVAL_S)
             if self._node.is_stopping:
                 continue
             trigger = self._trigger()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -70,7 +70,7 @@
         Raises
         ------
         PeerUnavailableError
-            If the stream ended or a frame is too large.
+            If the stream ended, or a frame is too large or malformed.
         """
         try:
             header = await self._reader.receive_exactly(wire.HEADER.size)
@@ -82,7 +82,12 @@
             raise PeerUnavailableError("the peer closed the stream", True) from error
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise PeerUnavailableError("the stream to the peer broke", True) from error
-        request_id, message = wire.decode(payload, now_ms())
+        try:
+            request_id, message = wire.decode(payload, now_ms())
+        except Exception as error:
+            # The decoders of the codec raise errors of many types.
+            logger.warning("peers: a frame cannot be decoded: %r.", error)
+            raise PeerUnavailableError("a peer sent a malformed frame", True) from error
         self._counter("received", message, size_bytes + wire.HEADER.size)
         return request_id, message
 
@@ -118,8 +123,10 @@
                 answers = self._answer_streams.get(request_id)
                 if answers is not None and message is not None:
                     answers.send_nowait(message)
-        except PeerUnavailableError:
-            pass
+        except PeerUnavailableError as error:
+            logger.debug("peers: the connection to %s ended: %s.", self._name, error)
+        except anyio.WouldBlock:
+            logger.warning("peers: %s sends past its credit.", self._name)
         finally:
             self.is_open = False
             for answers in list(self._answer_streams.values()):
@@ -459,6 +466,10 @@
                 await handler(message, channel)
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
             logger.debug("peers: a peer disconnected before its request was answered.")
+        except Exception:
+            # The peer learns from the broken connection that the outcome is unknown.
+            logger.exception("peers: a request of a peer failed unexpectedly.")
+            await self._frames.aclose()
         finally:
             self._channels.pop(channel.request_id, None)
 
