Take over a change of primary at once when its driver has ended

Cause: an unfinished change was taken over 4.5 s after its claim, also when the driver's host had long refused connections or run a later process, or when the driver itself had given up.

Ruled out: membership's word that the host is down, since a host that is only silent may wake up and act on its claim within 3 s.

Change: a claim holds the incarnation of its driver's process. Monitoring nodes connect to the driver: a refused connection or a later incarnation ends the claim; silence still waits it out. A takeover does not ask the dead primary.

--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -74,6 +74,9 @@
         Newest term that copies were paused for. In phase ``active``, a copy that is
         still paused for this term or an earlier one was missed when its change ended
         and can be resumed.
+    writer_incarnation : int
+        Incarnation of the writer's process. If the node runs a later one, the driver of
+        an unfinished change is dead.
     """
 
     service: str
@@ -88,6 +91,7 @@
     planned_primary: str = ""
     fenced_term: int = 0
     era: int = 0
+    writer_incarnation: int = 0
 
 
 def dump_group(state):
@@ -114,6 +118,7 @@
         "planned_primary": state.planned_primary,
         "fenced_term": state.fenced_term,
         "era": state.era,
+        "writer_incarnation": state.writer_incarnation,
         "term_starts": [list(start) for start in state.term_starts],
     }
 
@@ -146,6 +151,7 @@
         planned_primary=document.get("planned_primary", ""),
         fenced_term=document.get("fenced_term", 0),
         era=document.get("era", 0),
+        writer_incarnation=document.get("writer_incarnation", 0),
     )
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -79,6 +79,8 @@
         self.documents = documents
         self.metrics = metrics
         self.log = log
+        # A refuted rumor raises the incarnation in the membership, but not this one.
+        self.incarnation = membership.own.incarnation
         self.catalog = Catalog()
         self.configuration = None
         self.is_stopping = False
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -40,6 +40,9 @@
 STORE_UNREACHABLE_DELAY_MS = 1_000
 # Longer than CLAIM_TIMEOUT_MS, since the driver measures from before its write.
 CLAIM_TAKEOVER_AFTER_MS = 4_500
+# Several round trips to another region; without an answer by then, the driver counts as
+# silent.
+DRIVER_CHECK_TIMEOUT_S = 0.3
 # A request to promote without an answer by then is dropped with its connection.
 PROMOTE_TIMEOUT_S = 0.8
 # Pause after an attempt to change the primary. It is as long as a lease, which a failed
@@ -84,6 +87,8 @@
         self._retry_at_ms = 0
         self._triggered_at_ms = None
         self._open_claim = (0, 0)
+        # Nonce of the claim whose driver is known to have ended.
+        self._ended_claim = ""
         self._last_primary = ""
         self._without_primary_since_ms = None
 
@@ -94,6 +99,7 @@
             await anyio.sleep(CHECK_INTERVAL_S)
             if self._node.is_stopping:
                 continue
+            await self._check_driver()
             trigger = self._trigger()
             if trigger is None:
                 self._triggered_at_ms = None
@@ -153,11 +159,51 @@
         if version != state.version:
             self._open_claim = (state.version, now_ms())
             return None
-        if now_ms() - since_ms < CLAIM_TAKEOVER_AFTER_MS:
+        is_driver_gone = self._ended_claim == state.nonce
+        if not is_driver_gone and now_ms() - since_ms < CLAIM_TAKEOVER_AFTER_MS:
             return None
         reason = f"{state.writer} left term {state.term} open"
         return Trigger(Cause.UNFINISHED, state.primary, reason)
 
+    async def _check_driver(self):
+        """Find out whether the driver of an unfinished change has certainly ended.
+
+        A driver that is only silent may still act on its claim until that expires. One
+        that runs as a later process, or whose host refuses connections, does not.
+        """
+        state = self._node.state(self._service)
+        if state is None or state.phase is Phase.ACTIVE:
+            return
+        if self._ended_claim == state.nonce:
+            return
+        if state.writer == self._node.settings.node:
+            # This process itself is not driving it, or it would not be here.
+            reason = "its driver gave up or restarted"
+        else:
+            reason = await self._driver_end(state)
+        if reason:
+            self._ended_claim = state.nonce
+            self._node.log.log_state_change(
+                "driver_gone",
+                service=self._service,
+                driver=state.writer,
+                term=state.term,
+                reason=reason,
+            )
+
+    async def _driver_end(self, state):
+        driver = self._node.membership.find(state.writer)
+        if driver is None or not state.writer_incarnation:
+            return ""
+        try:
+            with anyio.move_on_after(DRIVER_CHECK_TIMEOUT_S):
+                connection = await self._node.peers.connect(driver)
+                is_later = connection.incarnation > state.writer_incarnation
+                return "its host runs a later process" if is_later else ""
+        except PeerUnavailableError as error:
+            return "its host refuses connections" if error.is_refused else ""
+        return ""
+
     def _is_due(self, trigger):
         if self._triggered_at_ms is None:
             self._triggered_at_ms = now_ms()
@@ -234,7 +280,7 @@
 
     async def _change(self, trigger):
         # Waiting for a primary that is down would only delay the change.
-        is_down = trigger.cause is Cause.DOWN
+        is_down = trigger.cause in (Cause.DOWN, Cause.UNFINISHED)
         candidates = await self._collect_candidates(trigger.primary if is_down else "")
         if not any(c.instance != trigger.primary for c in candidates):
             raise UpstreamUnavailableError(
@@ -309,6 +355,7 @@
             reason=f"{trigger.cause.value}: {trigger.reason}",
             version=known.version if known is not None else 0,
             fenced_term=term,
+            writer_incarnation=self._node.incarnation,
             era=self._node.store.era.number,
         )
         self._monitor.lease.revoke()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/streams.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/streams.py
@@ -1,5 +1,6 @@
 """Open, accept and read TCP streams with keepalive and a limit on line length."""
 
+import errno
 import socket
 
 import anyio
@@ -94,6 +95,18 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def is_refused(error):
+    """Return whether a connection failed because no process listens at the address."""
+    cause = error
+    while cause is not None:
+        if isinstance(cause, ConnectionRefusedError):
+            return True
+        if getattr(cause, "errno", None) == errno.ECONNREFUSED:
+            return True
+        cause = cause.__cause__ or cause.__context__
+    return False
+
+
 class LineReader:
     """Split a stream into lines.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/upstream.py
@@ -1,6 +1,5 @@
 """Run statements on a connection to a database and track its session state."""
 
-import errno
 from typing import NamedTuple
 
 import anyio
@@ -14,6 +13,7 @@
     LineReader,
     LineTooLongError,
     connect_stream,
+    is_refused,
 )
 
 # Opening a connection takes about 12 ms; a slow database may need far longer.
@@ -282,7 +282,7 @@
         await _close_stream(stream)
         raise UpstreamUnavailableError(
             f"cannot connect to {copy.instance}: {error}",
-            is_refused=_is_refused(error),
+            is_refused=is_refused(error),
             is_sent=False,
         ) from error
     except BaseException:
@@ -294,14 +294,3 @@
     if stream is not None:
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(stream)
-
-
-def _is_refused(error):
-    cause = error
-    while cause is not None:
-        if isinstance(cause, ConnectionRefusedError):
-            return True
-        if getattr(cause, "errno", None) == errno.ECONNREFUSED:
-            return True
-        cause = cause.__cause__ or cause.__context__
-    return False
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -13,7 +13,11 @@
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
-from bronzescale_proxy.fleet.streams import PEER_KEEPALIVE_S, tune_stream
+from bronzescale_proxy.fleet.streams import (
+    PEER_KEEPALIVE_S,
+    is_refused,
+    tune_stream,
+)
 
 logger = logging.getLogger("bronzescale.peers")
 
@@ -105,11 +109,14 @@
         The open stream.
     name : str
         Name of the peer.
+    incarnation : int
+        Incarnation of the peer's process.
     """
 
-    def __init__(self, frames, name):
+    def __init__(self, frames, name, incarnation):
         self._frames = frames
         self._name = name
+        self.incarnation = incarnation
         self._answer_streams = {}
         self._next_id = 1
         self.is_open = True
@@ -343,15 +350,17 @@
                 tune_stream(stream, PEER_KEEPALIVE_S)
         except (OSError, TimeoutError) as error:
             raise PeerUnavailableError(
-                f"cannot connect to {node.name} at {node.address}", False
+                f"cannot connect to {node.name} at {node.address}",
+                False,
+                is_refused=is_refused(error),
             ) from error
         frames = FrameStream(stream, self._counter)
         try:
-            await self._check_hello(node, frames)
+            hello = await self._check_hello(node, frames)
         except BaseException:
             await frames.aclose()
             raise
-        connection = PeerClientConnection(frames, node.name)
+        connection = PeerClientConnection(frames, node.name, hello.incarnation)
         self._task_group.start_soon(connection.receive_answers)
         return connection
 
@@ -372,6 +381,7 @@
             raise PeerUnavailableError(
                 f"another node answers at {node.address} of {node.name}", False
             )
+        return hello
 
 
 class PeerServer:
--- /dev/null
+++ b/tests/test_fleet_driver.py
@@ -0,0 +1,85 @@
+"""A change of primary whose driver ends, or is only silent, before it is finished."""
+
+import anyio
+import testtools
+
+from bronzescale_core.groups import GroupState, Phase
+from bronzescale_proxy.fleet.promotion import CLAIM_TAKEOVER_AFTER_MS
+from bronzescale_standins.fleet.testing import in_loop, is_primary_replaced
+from bronzescale_standins.fleet.world import running_world
+
+# A takeover that waits for the claim to run out takes longer.
+TAKEOVER_LIMIT_S = CLAIM_TAKEOVER_AFTER_MS / 1_000 - 0.5
+
+
+async def start_change(world):
+    """Stop the primary and return the member that claims the change of primary."""
+    world.platform.faults.refuses_promotions = True
+    world.group.databases["d1"].stop()
+
+    def claim():
+        return world.platform.get("bronzescale-groups", "svc")
+
+    await world.wait_until(lambda: claim() is not None)
+    driver = claim()["spec"]["writer"]
+    return next(member for member in world.members if member.name == driver)
+
+
+class EndedDriverTest(testtools.TestCase):
+    @in_loop
+    async def test_change_of_a_killed_driver_is_taken_over_at_once(self):
+        async with running_world(nodes=6) as world:
+            driver = await start_change(world)
+            driver.kill()
+            await driver.ended.wait()
+            world.platform.faults.refuses_promotions = False
+            took_s = await world.wait_until(lambda: is_primary_replaced(world))
+            self.assertLess(took_s, TAKEOVER_LIMIT_S)
+            events = [m.log.events("driver_gone") for m in world.members]
+            self.assertTrue(any(events))
+
+    @in_loop
+    async def test_change_of_a_restarted_driver_is_taken_over_at_once(self):
+        async with running_world(nodes=6) as world:
+            driver = await start_change(world)
+            driver.kill()
+            await driver.ended.wait()
+            driver.process = None
+            world.start_member(driver)
+            world.platform.faults.refuses_promotions = False
+            took_s = await world.wait_until(lambda: is_primary_replaced(world))
+            self.assertLess(took_s, TAKEOVER_LIMIT_S)
+
+
+class SilentDriverTest(testtools.TestCase):
+    @in_loop
+    async def test_claim_of_a_silent_driver_is_left_to_it(self):
+        """A host that is suspended may wake up and act on its claim."""
+        async with running_world(nodes=6) as world:
+            nodes = [member.process.node for member in world.members]
+            silent = world.members[-1]
+            for node in nodes:
+
+                async def connect(peer, original=node.peers.connect):
+                    if peer.name == silent.name:
+                        await anyio.sleep(5)
+                    return await original(peer)
+
+                node.peers.connect = connect
+            state = GroupState(
+                service="svc",
+                term=7,
+                primary=world.group.primary().instance,
+                phase=Phase.FENCING,
+                writer=silent.name,
+                nonce="silent:1",
+                era=world.platform.era,
+                writer_incarnation=silent.process.node.incarnation,
+            )
+            for promoter_node in nodes:
+                if promoter_node.settings.node == silent.name:
+                    promoter_node.monitors_primary = lambda service: False
+            await nodes[0].write_state(state)
+            await anyio.sleep(2.5)
+            stored = world.platform.get("bronzescale-groups", "svc")
+            self.assertEqual(silent.name, stored["spec"]["writer"])
