Let a stopping process answer what it accepted from peers

Cause: a stop waited until no owner ran a statement, not until the answers had left; a relayed statement between the two got "the peer was lost in mid-answer", on both paths.

Change: after the drain of owners the peer server refuses new statements as not run, which another node then serves, and waits until every accepted request is answered, bounded by the end of the grace time.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
@@ -74,8 +74,9 @@
             peer_listener = await self._listen("peer", stack)
             admin_listener = await self._listen("admin", stack)
             await self._build_components(stack, tasks)
+            service = PeerService(self.node, self.disseminator)
             peer_server = PeerServer(
-                PeerService(self.node, self.disseminator),
+                service,
                 self._hello,
                 self.metrics.count_frame,
             )
@@ -89,7 +90,10 @@
             self._report_started()
             self.started.set()
             await self._stop_requested.wait()
-            await self._stop()
+            with anyio.move_on_after(self.settings.stop_grace_ms / 1_000):
+                await self._stop()
+                await peer_server.drain(service.find_refusal)
+                logger.info("process: stopped.")
             tasks.cancel_scope.cancel()
 
     def _hello(self):
@@ -151,10 +155,8 @@
         self.node.membership.leave()
         await self.callers.stop()
         await anyio.sleep(HANDOVER_WAIT_S)
-        with anyio.move_on_after(self.settings.stop_grace_ms / 1_000):
-            while any(not owner.is_idle for owner in self.node.owners()):
-                await anyio.sleep(0.05)
-        logger.info("process: stopped.")
+        while any(not owner.is_idle for owner in self.node.owners()):
+            await anyio.sleep(0.05)
 
 
 async def _close_shielded(resource):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -142,8 +142,9 @@
                 )
             )
             self._callers = CallerServer(self.node, Dispatcher(self.node))
+            service = FleetService(self.node, self._disseminator)
             peer_server = PeerServer(
-                FleetService(self.node, self._disseminator),
+                service,
                 lambda: wire.Hello(self._own_node.name, self._own_node.incarnation),
                 self._metrics.count_frame,
             )
@@ -174,6 +175,8 @@
             self._log.log_state_change("started", zone=settings.zone)
             await self._stop_requested.wait()
             await self._stop()
+            with anyio.move_on_after(KILL_MARGIN_MS / 2_000):
+                await peer_server.drain(service.find_refusal)
             tasks.cancel_scope.cancel()
         self._log.log_state_change("stopped")
         self._log.flush()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
@@ -21,6 +21,16 @@
         self._node = node
         self._disseminator = disseminator
 
+    def find_refusal(self, message):
+        """Return the answer that refuses a message while this node stops, or None.
+
+        A statement that needs no transaction of this node runs at another one.
+        """
+        if not isinstance(message, Work) or message.transaction_id:
+            return None
+        text = f"{self._node.settings.node} is stopping"
+        return WorkAnswer(Outcome.BUSY, Reach.NOT_SENT, text, is_unreachable=True)
+
     async def __call__(self, message, channel):
         """Answer one message."""
         await self._handle(message, channel)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -29,6 +29,9 @@
 # would make the receiving node buffer the whole result.
 WINDOW_PARTS = 8
 IDLE_CLOSE_MS = 60_000
+# A stopping server looks this often for requests in flight. Two looks in a row without
+# any cover a request that was received but not yet handled.
+DRAIN_POLL_INTERVAL_S = 0.05
 
 
 class FrameStream:
@@ -401,6 +404,36 @@
         self._handler = handler
         self._hello = hello
         self._counter = counter
+        self._connections = set()
+        self._find_refusal = None
+
+    @property
+    def in_flight(self):
+        """Return how many requests have no complete answer yet."""
+        return sum(connection.in_flight for connection in self._connections)
+
+    async def drain(self, find_refusal):
+        """Refuse new statements and wait until every accepted one is answered.
+
+        Parameters
+        ----------
+        find_refusal : callable
+            Return the answer that refuses a message, or None to handle the message.
+        """
+        self._find_refusal = find_refusal
+        idle_looks = 0
+        while idle_looks < 2:
+            await anyio.sleep(DRAIN_POLL_INTERVAL_S)
+            idle_looks = 0 if self.in_flight else idle_looks + 1
+
+    async def _handle(self, message, channel):
+        refusal = None
+        if self._find_refusal is not None:
+            refusal = self._find_refusal(message)
+        if refusal is not None:
+            await channel.send(refusal)
+        else:
+            await self._handler(message, channel)
 
     async def serve_stream(self, stream):
         """Serve one connection until it ends.
@@ -416,6 +449,8 @@
             stack.push_async_callback(frames.aclose)
             connection = PeerServerConnection(frames)
             stack.callback(connection.close)
+            self._connections.add(connection)
+            stack.callback(self._connections.discard, connection)
             async with anyio.create_task_group() as tasks:
                 await self._receive(frames, connection, tasks)
                 tasks.cancel_scope.cancel()
@@ -425,7 +460,7 @@
             await frames.send(0, self._hello())
             while True:
                 request_id, message = await frames.receive()
-                connection.dispatch(tasks, self._handler, request_id, message)
+                connection.dispatch(tasks, self._handle, request_id, message)
         except (PeerUnavailableError, anyio.BrokenResourceError):
             logger.debug("peers: a peer closed its connection.")
 
@@ -438,6 +473,11 @@
         self._channels = {}
         self.closed_callbacks = []
 
+    @property
+    def in_flight(self):
+        """Return how many requests of this connection are being answered."""
+        return len(self._channels)
+
     def dispatch(self, tasks, handler, request_id, message):
         """Pass credit or a cancellation to its request, or start a new request.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/serving.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/serving.py
@@ -28,6 +28,16 @@
         self._node = node
         self._disseminator = disseminator
 
+    def find_refusal(self, message):
+        """Return the answer that refuses a message while this node stops, or None.
+
+        A statement that needs no transaction of this node runs at another one.
+        """
+        if not isinstance(message, StatementRequest) or message.transaction_id:
+            return None
+        text = f"{self._node.settings.node} is stopping"
+        return wire.FailureReport("failed", text, progress=Progress.NOT_SENT.value)
+
     async def __call__(self, message, channel):
         """Handle one message.
 
--- a/tests/test_fleet_discovery.py
+++ b/tests/test_fleet_discovery.py
@@ -3,6 +3,9 @@
 import anyio
 import testtools
 
+from bronzescale_core.work import WorkAnswer
+from bronzescale_proxy.fleet.compose import LOAD_BALANCER_NOTICE_MS
+from bronzescale_proxy.peers import PeerChannel
 from bronzescale_standins.fleet.database import Group
 from bronzescale_standins.fleet.testing import in_loop
 from bronzescale_standins.fleet.world import ROUTES, running_world
@@ -157,6 +160,45 @@
             self.assertEqual("DONE", answer.code)
 
 
+class StoppingOwnerTest(testtools.TestCase):
+    @in_loop
+    async def test_relayed_statement_gets_its_answer_from_a_stopping_owner(self):
+        """The owner is idle again before its answer has left."""
+        send_original = PeerChannel.send
+
+        async def send_late(channel, message):
+            if isinstance(message, WorkAnswer):
+                await anyio.sleep(0.15)
+            await send_original(channel, message)
+
+        self.patch(PeerChannel, "send", send_late)
+        async with running_world(nodes=6) as world:
+            front_end, owner = world.members[0], world.members[3]
+            node = front_end.process.node
+            # As if the news that the owner leaves arrived late.
+            owner_node = next(n for n in node.membership.live_nodes() if n.name == "n4")
+            find_owners = node.owners_of
+            node.owners_of = lambda instance: [owner_node]
+            answers = []
+
+            async def write_repeatedly(number):
+                caller = await front_end.caller("lead")
+                while not owner.ended.is_set():
+                    answers.append(await caller.query(f"WRITE k{number} 1"))
+                    await anyio.sleep(0.01)
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(8):
+                    tasks.start_soon(write_repeatedly, number)
+                await anyio.sleep(0.3)
+                owner.process.request_stop()
+                await anyio.sleep(LOAD_BALANCER_NOTICE_MS / 1_000 - 0.05)
+                node.owners_of = find_owners
+            unknown = [answer.text for answer in answers if answer.code == "UNKNOWN"]
+            self.assertEqual([], unknown)
+            self.assertTrue(any(answer.is_done for answer in answers))
+
+
 class ReusedIdentityTest(testtools.TestCase):
     """Guard against databases that reuse an address or a name with other data.
 
