Let reads that wait together share a failed request for the head

Pattern: reads of a stated age that arrive while the primary does not answer. Change: a request that began after a read arrived and failed answers it too.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
@@ -99,6 +99,8 @@
         self._role_changed = anyio.Event()
         self._lease_renewed = anyio.Event()
         self._head_lock = anyio.Lock()
+        # When the newest request for a head that failed began.
+        self._head_failed_at_ms = 0
         self._reported_term = 0
         self._answered_at_ms = 0
         self._change_started_at_ms = 0
@@ -212,9 +214,11 @@
         sample = self.lease.head_since(since_ms)
         if sample is not None:
             return sample
+        arrived_at_ms = now_ms()
         async with self._head_lock:
             sample = self.lease.head_since(since_ms)
-            if sample is None:
+            # A request that began after this read arrived and failed answers it too.
+            if sample is None and self._head_failed_at_ms < arrived_at_ms:
                 await self._fetch_head()
                 sample = self.lease.head_since(since_ms)
         return sample
@@ -232,6 +236,7 @@
             if head is not None:
                 self.lease.add_sample(HeadSample(head, asked_at_ms))
                 return
+        self._head_failed_at_ms = asked_at_ms
 
     async def _request_head(self, owner):
         deadline_ms = now_ms() + int(HEAD_TIMEOUT_S * 1_000)
