Mend the age of steps in the dump and three checks of the stand-ins

Causes, all known by reading: a comprehension variable hid the outer time, so `ago_ms` was always 0; a keyed write started as unknown, so the checker could never record that it was not run; the soak dropped the result of its check at the start and started its time to recover while faults were in force. Before: test_dump and test_outcome_of_a_keyed_write[not_run] fail.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/dump.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/dump.py
@@ -84,8 +84,12 @@
         "head_age_ms": at_ms - head.valid_at_ms if head else None,
         "copies": [_dump_copy(group, watch, at_ms) for watch in group.watches()],
         "steps": [
-            {"ago_ms": at_ms - at_ms, "step": note.step.value, "text": note.text}
-            for at_ms, note in group.steps
+            {
+                "ago_ms": at_ms - step_at_ms,
+                "step": note.step.value,
+                "text": note.text,
+            }
+            for step_at_ms, note in group.steps
         ],
     }
 
--- a/packages/bronzescale-standins/src/bronzescale_standins/checker.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/checker.py
@@ -184,7 +184,7 @@
         """
         value = self._checker.unique_value()
         sql = f"INSERT INTO entries VALUES ('{value}')"
-        outcome, text = "unknown", ""
+        outcome, text = "not_run", ""
         for _ in range(8):
             try:
                 await self._run_query(f"SET @bronzescale_request_key = 'key-{value}'")
@@ -194,8 +194,8 @@
             except (errors.Error, OSError) as error:
                 text = str(error)
                 self._close_if_broken(error)
-                if _outcome_of(error) == "not_run" and outcome != "unknown":
-                    outcome = "not_run"
+                if _outcome_of(error) == "unknown":
+                    outcome = "unknown"
                 if self._checker._is_stopped:
                     break
                 await anyio.sleep(0.2)
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -141,16 +141,17 @@
                 self.world.tasks = tasks
                 await self._start_standins(tasks)
                 await self._start_members(tasks, stack)
-                await self._wait_until_serving("start")
+                start_violation = await self._wait_until_serving("start")
                 for number in range(self.caller_count):
                     rng = random.Random(self.rng.random())
                     tasks.start_soon(SoakCaller(number, self, rng).run)
-                await self._inject_faults(seconds, fault_names, tasks)
+                await self._inject_faults(seconds, fault_names)
                 recovery_violation = await self._wait_until_serving("recovery")
                 await anyio.sleep(1.0)
                 tasks.cancel_scope.cancel()
         violations = check(self.operations, self.group)
-        return violations + ([recovery_violation] if recovery_violation else [])
+        ends = (start_violation, recovery_violation)
+        return violations + [violation for violation in ends if violation]
 
     async def _start_standins(self, tasks):
         await tasks.start(run_with_status, self.platform)
@@ -184,14 +185,19 @@
             member.start()
             stack.callback(member.kill)
 
-    async def _inject_faults(self, seconds, fault_names, tasks):
-        """Start a random fault every 0.5 to 2.5 s; faults may overlap."""
+    async def _inject_faults(self, seconds, fault_names):
+        """Start a random fault every 0.5 to 2.5 s; faults may overlap.
+
+        Return when the last of them has ended, so that the time to recover starts
+        without any fault in force.
+        """
         end_s = time.monotonic() + seconds
-        while time.monotonic() < end_s:
-            name = self.rng.choice(fault_names)
-            self.faults.append((round(time.monotonic(), 2), name))
-            tasks.start_soon(self._inject_fault, name)
-            await anyio.sleep(self.rng.uniform(0.5, 2.5))
+        async with anyio.create_task_group() as faults:
+            while time.monotonic() < end_s:
+                name = self.rng.choice(fault_names)
+                self.faults.append((round(time.monotonic(), 2), name))
+                faults.start_soon(self._inject_fault, name)
+                await anyio.sleep(self.rng.uniform(0.5, 2.5))
 
     async def _inject_fault(self, name):
         rng = random.Random(self.rng.random())
