--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -170,11 +170,13 @@
             not on the list has been deleted.
         """
         listed = {item.name for item in items}
-        rolled_back_count = 0
+        changed = [
+            item
+            for item in items
+            if self._is_from_older_era((kind, item.name), version)
+            and self.objects[(kind, item.name)].value != item.value
+        ]
         for item in items:
-            known = self.objects.get((kind, item.name))
-            if known is not None and era_of(known.version) < era_of(item.version):
-                rolled_back_count += known.value != item.value
             self.apply_object(item)
         missing = [
             known
@@ -184,18 +186,28 @@
             and known.value is not None
             and known.version <= version
         ]
+        lost = [
+            known
+            for known in missing
+            if self._is_from_older_era((kind, known.name), version)
+        ]
         for known in missing:
             self.apply_object(known._replace(version=version, value=None))
-        if rolled_back_count or missing:
+        if changed or lost:
             self.log.log_state_change(
                 "objects_lost",
                 kind=kind,
-                rolled_back=rolled_back_count,
-                missing=len(missing),
+                rolled_back=len(changed),
+                missing=len(lost),
                 era=era_of(version),
             )
         self.notify()
 
+    def _is_from_older_era(self, key, version):
+        """Return whether an object is known from an era before that of a version."""
+        known = self.objects.get(key)
+        return known is not None and era_of(known.version) < era_of(version)
+
     def _enter_era(self, old, new):
         """Note that the store returned from an older copy."""
         self.log.log_state_change(
--- a/tests/test_fleet_store_era.py
+++ b/tests/test_fleet_store_era.py
@@ -86,6 +86,13 @@
             world.platform.restore_copy(30)
             self.assertEqual(set(), registered_hosts(world))
             await world.wait_until(lambda: registered_hosts(world) == names, 6)
+            lost = [
+                event
+                for member in world.members
+                for event in member.log.events("objects_lost")
+                if event["kind"] == "hosts"
+            ]
+            self.assertTrue(any(event["missing"] for event in lost), lost)
 
     @in_loop
     async def test_leaving_database_gets_no_new_reads(self):
