Trust only a later process, not a refused connection, for a driver's end

Change: only a later incarnation of the driver's process, or this process's own claim that it gave up, ends a claim early.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
@@ -71,15 +71,11 @@
         Describes the failure.
     is_sent : bool
         Whether the request may have reached the peer.
-    is_refused : bool, default=False
-        Whether the peer's host answered that no process listens there, so that the
-        process has ended.
     """
 
-    def __init__(self, message, is_sent, is_refused=False):
+    def __init__(self, message, is_sent):
         super().__init__(message)
         self.is_sent = is_sent
-        self.is_refused = is_refused
 
 
 class AttemptFailedError(BronzescaleError):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -168,8 +168,9 @@
     async def _check_driver(self):
         """Find out whether the driver of an unfinished change has certainly ended.
 
-        A driver that is only silent may still act on its claim until that expires. One
-        that runs as a later process, or whose host refuses connections, does not.
+        A driver that is only silent, or cut off by something that refuses connections
+        in its place, may still act on its claim until that expires. One whose node runs
+        a later process does not.
         """
         state = self._node.state(self._service)
         if state is None or state.phase is Phase.ACTIVE:
@@ -180,7 +181,8 @@
             # This process itself is not driving it, or it would not be here.
             reason = "its driver gave up or restarted"
         else:
-            reason = await self._driver_end(state)
+            has_restarted = await self._has_driver_restarted(state)
+            reason = "its node runs a later process" if has_restarted else ""
         if reason:
             self._ended_claim = state.nonce
             self._node.log.log_state_change(
@@ -191,18 +193,19 @@
                 reason=reason,
             )
 
-    async def _driver_end(self, state):
+    async def _has_driver_restarted(self, state):
         driver = self._node.membership.find(state.writer)
         if driver is None or not state.writer_incarnation:
-            return ""
+            return False
         try:
             with anyio.move_on_after(DRIVER_CHECK_TIMEOUT_S):
                 connection = await self._node.peers.connect(driver)
-                is_later = connection.incarnation > state.writer_incarnation
-                return "its host runs a later process" if is_later else ""
+                return connection.incarnation > state.writer_incarnation
         except PeerUnavailableError as error:
-            return "its host refuses connections" if error.is_refused else ""
-        return ""
+            self._node.log.log_decision(
+                "driver_silent", driver=state.writer, reason=str(error)
+            )
+        return False
 
     def _is_due(self, trigger):
         if self._triggered_at_ms is None:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -13,11 +13,7 @@
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import PeerUnavailableError
-from bronzescale_proxy.fleet.streams import (
-    PEER_KEEPALIVE_S,
-    is_refused,
-    tune_stream,
-)
+from bronzescale_proxy.fleet.streams import PEER_KEEPALIVE_S, tune_stream
 
 logger = logging.getLogger("bronzescale.peers")
 
@@ -353,9 +349,7 @@
                 tune_stream(stream, PEER_KEEPALIVE_S)
         except (OSError, TimeoutError) as error:
             raise PeerUnavailableError(
-                f"cannot connect to {node.name} at {node.address}",
-                False,
-                is_refused=is_refused(error),
+                f"cannot connect to {node.name} at {node.address}", False
             ) from error
         frames = FrameStream(stream, self._counter)
         try:
--- a/packages/bronzescale-standins/src/bronzescale_standins/fuzz.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fuzz.py
@@ -66,10 +66,10 @@
 
 
 class Failure(NamedTuple):
-    """An input that a decoder did not handle."""
+    """An input, by its number in the run, that a decoder did not handle."""
 
     decoder: str
-    value: object
+    input_number: int
     error: str
 
 
@@ -246,7 +246,7 @@
     """Fuzz the decoders; exit with 1 if one of them failed."""
     failures = run(inputs, seed)
     for failure in failures[:MAX_REPORTED_FAILURES]:
-        print(f"{failure.decoder}, input {failure.value}: {failure.error[:300]}")
+        print(f"{failure.decoder}, input {failure.input_number}: {failure.error[:300]}")
     print(f"fuzz: {inputs} inputs, {len(failures)} failures")
     sys.exit(1 if failures else 0)
 
