Hold the clock still in the test of a full database

The test asked for one attempt to connect while a pause of 150 ms of real time lasts, and gives its waiters 100 ms. Traced: a stall of 200 ms while they start gives the same failure (1 != 2), since the pause is then over and the next attempt is what the pool is for. The clock of the pool stands still now, so the pause cannot end and one attempt is all that is allowed; the bound is as before.

--- a/tests/test_fleet_serving.py
+++ b/tests/test_fleet_serving.py
@@ -273,6 +273,8 @@
                 except UpstreamUnavailableError:
                     return
 
+        # The pause of the pool does not end, however long the test is held up.
+        self.patch(pool, "now_ms", lambda: 1_000)
         async with anyio.create_task_group() as tasks:
             for _ in range(30):
                 tasks.start_soon(acquire)
