Prepare leases and connections as soon as a node knows the fleet again

Not taken: asking the copies of every service on every host at a start, which would cost a slot and a connection at each database for each host.

Change: a complete list of groups, which every start reads from the store, renews the leases, as of the time at which it was requested; the first kind that the store answers wakes the calls for the others; callers do not wait until the node's own entry is written; after a restart connections are opened at once instead of after 1.5 s.

Tests failed first: test_lease_is_held_once_the_groups_are_listed, test_first_answer_of_the_store_wakes_the_other_calls.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -77,6 +77,7 @@
         self._is_registering = False
         self._watcher_version = None
         self._is_watcher = False
+        self._store_answered = anyio.Event()
         node.store.era.change_listeners.append(self._end_watches)
         self.has_synchronized_from_peer = False
 
@@ -128,7 +129,9 @@
                 revision = None
             except StoreError as error:
                 self._record_store_failure(kind, error)
-                await anyio.sleep(retry_s * self._random.uniform(0.7, 1.3))
+                # The first kind that the store answers again wakes the others.
+                with anyio.move_on_after(retry_s * self._random.uniform(0.7, 1.3)):
+                    await self._store_answered.wait()
                 retry_max_s = (
                     STORE_RETRY_MAX_S
                     if self.is_synchronized
@@ -137,14 +140,19 @@
                 retry_s = min(retry_max_s, retry_s * 2)
 
     async def _list_kind(self, kind):
+        asked_at_ms = now_ms()
         listing = await self._node.store.list(kind)
         if kind in self._failing_kinds:
             self._node.catalog.record_outage(now_ms())
         self._node.apply_list(kind, listing.objects, listing.version)
-        if kind == HOSTS:
-            await self._apply_hosts()
+        own_item = self._merge_hosts() if kind == HOSTS else None
+        if kind == GROUPS:
+            self._node.record_group_listing(asked_at_ms)
         self._listed_kinds.add(kind)
         self._update_synchronized()
+        if kind == HOSTS:
+            # Callers need not wait for this node's own entry.
+            await self._ensure_registered(own_item)
         return listing.version
 
     async def _watch_kind(self, kind, revision):
@@ -161,7 +169,7 @@
         applied = [item for item in changes.objects if self._node.apply_object(item)]
         self._push_to_zone(applied)
         if kind == HOSTS and changes.objects:
-            await self._apply_hosts()
+            await self._ensure_registered(self._merge_hosts())
         return changes.version
 
     def _end_watches(self, old, new):
@@ -196,6 +204,8 @@
         if kind in self._failing_kinds:
             self._failing_kinds.discard(kind)
             self._node.log.log_state_change("store_answers_again", kind=kind)
+        self._store_answered.set()
+        self._store_answered = anyio.Event()
         self._update_store_state()
 
     def _record_store_failure(self, kind, error):
@@ -209,10 +219,9 @@
         self._node.is_store_answering = not self._failing_kinds
         self._node.metrics.set_store_state(not self._failing_kinds)
 
-    async def _apply_hosts(self):
-        """Merge the listed hosts; register this node if its entry is out of date."""
+    async def _ensure_registered(self, own_item):
+        """Register this node if its entry is missing or out of date."""
         own = self._node.membership.own
-        own_item = self._merge_hosts()
         if own_item is None or own_item.value != _dump_host(own):
             await self._register(own, own_item)
 
@@ -275,9 +284,12 @@
             self._is_registering = False
 
     def _update_synchronized(self):
-        if self.is_synchronized:
+        if not self.is_synchronized:
+            return
+        if not self._node.is_synchronized:
             self._node.is_synchronized = True
-            self._node.notify()
+            self._node.begin_serving()
+        self._node.notify()
 
     # Peers
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -105,6 +105,7 @@
         self._digests = None
         self._group_version = 0
         self._role_versions = None
+        self._groups_asked_at_ms = None
         self._ranks = {}
         self._ranked_versions = None
         self.allowances = Allowances(self)
@@ -118,7 +119,8 @@
         async with anyio.create_task_group() as tasks:
             self.tasks = SupervisedTasks(tasks, self.log)
             try:
-                self.tasks.start_soon(self.warm_up)
+                if self.settings.is_first_start:
+                    self.tasks.start_soon(self._warm_up_later)
                 for service in list(self._primary_monitors):
                     self._start_primary_monitor(service)
                 self.tasks.keep_running(self._maintain)
@@ -420,6 +422,10 @@
         """Return the newest known state of a service's group, or None."""
         return self._group_states.get(service)
 
+    def record_group_listing(self, asked_at_ms):
+        """Record when the newest complete list of groups was requested."""
+        self._groups_asked_at_ms = asked_at_ms
+
     async def read_state(self, service):
         """Read the state of a service's group from the store.
 
@@ -642,12 +648,26 @@
         """Return the owners of all databases to which this node holds connections."""
         return list(self._owners.values())
 
+    def begin_serving(self):
+        """Prepare for the first statements, once all objects are known.
+
+        After a restart callers are waiting already, and the other nodes are known.
+        """
+        self._update_roles()
+        for monitor in self._primary_monitors.values():
+            monitor.renew_from_listing(self._groups_asked_at_ms)
+        if self.tasks is not None and not self.settings.is_first_start:
+            self.tasks.start_soon(self.warm_up)
+
+    async def _warm_up_later(self):
+        await anyio.sleep(WARM_UP_DELAY_S)
+        await self.warm_up()
+
     async def warm_up(self):
         """Open connections to the databases that this node is first in rank for.
 
         With customers, nobody knows yet whose connections will be needed.
         """
-        await anyio.sleep(WARM_UP_DELAY_S)
         if self.configuration is not None and self.configuration.customers:
             return
         for copy in self.catalog.all():
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
@@ -560,6 +560,27 @@
                 reason=str(error),
             )
             return
+        self._renew_from_state(primary, state, asked_at_ms)
+
+    def renew_from_listing(self, asked_at_ms):
+        """Renew the lease from a list of all groups, which is as good as a read.
+
+        After a start, the first statements need not wait for a renewal of their own.
+
+        Parameters
+        ----------
+        asked_at_ms : int or None
+            When the list was requested from the store; None if a peer sent the groups.
+        """
+        primary = self.primary
+        state = self._node.state(self.service)
+        if asked_at_ms is None or primary is None:
+            return
+        if self._node.store.era.has_confirmed(state):
+            self._renew_from_state(primary, state, asked_at_ms)
+
+    def _renew_from_state(self, primary, state, asked_at_ms):
+        """Renew the lease if the store's state names the primary."""
         known = self.lease.renewal
         lease_term = known.term if known and known.upstream == primary else 0
         if state is None:
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
@@ -6,7 +6,6 @@
 import anyio
 import uvicorn
 from starlette.applications import Starlette
-from starlette.middleware.base import BaseHTTPMiddleware
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
@@ -61,25 +60,40 @@
     def app(self):
         """Return the ASGI application."""
         path = OBJECTS_PATH + "/{kind}"
-        app = Starlette(
+        return Starlette(
             routes=[
-                Route(path, self._handle_collection, methods=["GET", "POST"]),
+                Route(
+                    path,
+                    self._with_era(self._handle_collection),
+                    methods=["GET", "POST"],
+                ),
                 Route(
                     path + "/{name}",
-                    self._handle_object,
+                    self._with_era(self._handle_object),
                     methods=["GET", "PUT", "DELETE"],
                 ),
-                Route(PROMOTE_PATH, self._handle_promotion, methods=["POST"]),
+                Route(
+                    PROMOTE_PATH,
+                    self._with_era(self._handle_promotion),
+                    methods=["POST"],
+                ),
             ]
         )
-        app.add_middleware(BaseHTTPMiddleware, dispatch=self._add_era)
-        return app
 
-    async def _add_era(self, request, call_next):
-        response = await call_next(request)
-        if self.era is not None:
-            response.headers[ERA_HEADER] = str(self.era)
-        return response
+    def _with_era(self, handler):
+        """Return a handler whose responses name the era in which they were made.
+
+        A middleware would add the era later, when the store may have returned from a
+        copy: a write that was lost would then look like one of the new era.
+        """
+
+        async def handle(request):
+            response = await handler(request)
+            if self.era is not None:
+                response.headers[ERA_HEADER] = str(self.era)
+            return response
+
+        return handle
 
     # Objects
 
