Read the state of a group through a peer if the store turns a host away

Weighed: giving such ownership up (moves connections at the worst moment); leases granted by peers (a second authority). Taken: the same linearizable read of the store, made by a peer on request.

StateRequest and StateReply are new between hosts; the reply carries the store's era. After the first start of the fleet a node's own entry still comes first.

--- a/packages/bronzescale-proxy/peer.thrift
+++ b/packages/bronzescale-proxy/peer.thrift
@@ -194,6 +194,17 @@
   7: i64 configuration_version,
 }
 
+struct WireStateRequest {
+  1: string service_name,
+}
+
+struct WireStateReply {
+  1: bool is_read,
+  2: optional WireObject item,
+  3: i64 era,
+  4: string reason,
+}
+
 union Body {
   1: WireHeartbeat heartbeat,
   2: WireStatement statement,
@@ -213,6 +224,8 @@
   16: WireAnswer answer,
   17: WirePermitRequest permit_request,
   18: WirePermitReply permit_reply,
+  19: WireStateRequest state_request,
+  20: WireStateReply state_reply,
 }
 
 struct Envelope {
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -148,10 +148,13 @@
         own_item = self._merge_hosts() if kind == HOSTS else None
         if kind == GROUPS:
             self._node.record_group_listing(asked_at_ms)
+        # After a restart callers wait already, and they do not need this node's entry.
+        is_entry_first = kind == HOSTS and self._node.settings.is_first_start
+        if is_entry_first:
+            await self._ensure_registered(own_item)
         self._listed_kinds.add(kind)
         self._update_synchronized()
-        if kind == HOSTS:
-            # Callers need not wait for this node's own entry.
+        if kind == HOSTS and not is_entry_first:
             await self._ensure_registered(own_item)
         return listing.version
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
@@ -68,6 +68,11 @@
             ["method"],
             registry=registry,
         )
+        self._relayed_reads = Counter(
+            "bronzescale_relayed_reads",
+            "Reads of group states that a peer made because the store did not answer.",
+            registry=registry,
+        )
         self._peer_bytes = Counter(
             "bronzescale_peer_bytes",
             "Bytes exchanged with other nodes.",
@@ -163,6 +168,10 @@
         """Count a call to the platform's store."""
         self._store_calls.labels(method).inc()
 
+    def count_relayed_read(self):
+        """Count a group state that a peer read from the store for this node."""
+        self._relayed_reads.inc()
+
     def count_limited_operation(self, result):
         """Count an operation of a customer with a limit.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -20,6 +20,7 @@
 from bronzescale_proxy.fleet.control import CopyControl
 from bronzescale_proxy.fleet.owner import CopyOwner
 from bronzescale_proxy.fleet.primary_monitor import PrimaryMonitor
+from bronzescale_proxy.fleet.state_reader import StateReader
 from bronzescale_proxy.fleet.supervision import SupervisedTasks
 
 CONFIGURATION = "configuration"
@@ -109,6 +110,7 @@
         self._ranks = {}
         self._ranked_versions = None
         self.allowances = Allowances(self)
+        self.state_reader = StateReader(self, GROUPS)
         store.era.change_listeners.append(self._enter_era)
         store.era.problem_listeners.append(
             lambda text: self.log.log_decision("era_unusable", reason=text)
@@ -439,7 +441,7 @@
         StoreError
             If the read failed.
         """
-        item = await self.store.get(GROUPS, service)
+        item = await self.state_reader.read(service)
         if item is None:
             return None
         self.apply_object(item)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
@@ -83,6 +83,10 @@
             )
         )
 
+    @_handle.register
+    async def _(self, message: wire.StateRequest, channel):
+        await channel.send(await self._node.state_reader.read_here(message.service))
+
     @_handle.register
     async def _(self, message: wire.Heartbeat, channel):
         await self._disseminator.answer_heartbeat(message, channel)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/thrift_gen/ttypes.py
@@ -2880,6 +2880,179 @@
         return not (self == other)
 
 
+class WireStateRequest(object):
+    """
+    Attributes:
+     - service_name
+
+    """
+
+    __slots__ = (
+        'service_name',
+    )
+
+
+    def __init__(self, service_name=None,):
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WireStateRequest')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WireStateReply(object):
+    """
+    Attributes:
+     - is_read
+     - item
+     - era
+     - reason
+
+    """
+
+    __slots__ = (
+        'is_read',
+        'item',
+        'era',
+        'reason',
+    )
+
+
+    def __init__(self, is_read=None, item=None, era=None, reason=None,):
+        self.is_read = is_read
+        self.item = item
+        self.era = era
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_read = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.item = WireObject()
+                    self.item.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WireStateReply')
+        if self.is_read is not None:
+            oprot.writeFieldBegin('is_read', TType.BOOL, 1)
+            oprot.writeBool(self.is_read)
+            oprot.writeFieldEnd()
+        if self.item is not None:
+            oprot.writeFieldBegin('item', TType.STRUCT, 2)
+            self.item.write(oprot)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 4)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Body(object):
     """
     Attributes:
@@ -2901,6 +3074,8 @@
      - answer
      - permit_request
      - permit_reply
+     - state_request
+     - state_reply
 
     """
 
@@ -2923,10 +3098,12 @@
         'answer',
         'permit_request',
         'permit_reply',
+        'state_request',
+        'state_reply',
     )
 
 
-    def __init__(self, heartbeat=None, statement=None, part=None, failure=None, credit=None, cancel=None, end_transaction=None, head_request=None, head_reply=None, evidence_request=None, evidence_reply=None, objects_request=None, objects=None, hello=None, work=None, answer=None, permit_request=None, permit_reply=None,):
+    def __init__(self, heartbeat=None, statement=None, part=None, failure=None, credit=None, cancel=None, end_transaction=None, head_request=None, head_reply=None, evidence_request=None, evidence_reply=None, objects_request=None, objects=None, hello=None, work=None, answer=None, permit_request=None, permit_reply=None, state_request=None, state_reply=None,):
         self.heartbeat = heartbeat
         self.statement = statement
         self.part = part
@@ -2945,6 +3122,8 @@
         self.answer = answer
         self.permit_request = permit_request
         self.permit_reply = permit_reply
+        self.state_request = state_request
+        self.state_reply = state_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3063,6 +3242,18 @@
                     self.permit_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.state_request = WireStateRequest()
+                    self.state_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.state_reply = WireStateReply()
+                    self.state_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3145,6 +3336,14 @@
             oprot.writeFieldBegin('permit_reply', TType.STRUCT, 18)
             self.permit_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.state_request is not None:
+            oprot.writeFieldBegin('state_request', TType.STRUCT, 19)
+            self.state_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.state_reply is not None:
+            oprot.writeFieldBegin('state_reply', TType.STRUCT, 20)
+            self.state_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3465,6 +3664,19 @@
     (6, TType.I64, 'period', None, None, ),  # 6
     (7, TType.I64, 'configuration_version', None, None, ),  # 7
 )
+all_structs.append(WireStateRequest)
+WireStateRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+)
+all_structs.append(WireStateReply)
+WireStateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_read', None, None, ),  # 1
+    (2, TType.STRUCT, 'item', [WireObject, None], None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.STRING, 'reason', 'UTF8', None, ),  # 4
+)
 all_structs.append(Body)
 Body.thrift_spec = (
     None,  # 0
@@ -3486,6 +3698,8 @@
     (16, TType.STRUCT, 'answer', [WireAnswer, None], None, ),  # 16
     (17, TType.STRUCT, 'permit_request', [WirePermitRequest, None], None, ),  # 17
     (18, TType.STRUCT, 'permit_reply', [WirePermitReply, None], None, ),  # 18
+    (19, TType.STRUCT, 'state_request', [WireStateRequest, None], None, ),  # 19
+    (20, TType.STRUCT, 'state_reply', [WireStateReply, None], None, ),  # 20
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -144,6 +144,33 @@
     verdict: str
 
 
+class StateRequest(NamedTuple):
+    """Request the state of a group as a peer reads it from the store now."""
+
+    service: str
+
+
+class StateReply(NamedTuple):
+    """State of a group as read from the store on behalf of another node.
+
+    Parameters
+    ----------
+    is_read : bool
+        Whether the store answered.
+    item : StoreObject or None
+        The group's object; None if the store has none or did not answer.
+    era : int
+        Era of the store that the peer knows.
+    reason : str
+        Why the store was not read.
+    """
+
+    is_read: bool
+    item: StoreObject | None
+    era: int
+    reason: str
+
+
 class PermitRequest(NamedTuple):
     """Request permits to run operations of a customer.
 
@@ -387,12 +414,22 @@
     )
 
 
+@to_body.register
+def _(message: StateRequest, now_ms):
+    return t.Body(state_request=t.WireStateRequest(message.service))
+
+
+@to_body.register
+def _(message: StateReply, now_ms):
+    item = None if message.item is None else _to_wire_object(message.item)
+    return t.Body(
+        state_reply=t.WireStateReply(message.is_read, item, message.era, message.reason)
+    )
+
+
 @to_body.register
 def _(message: Objects, now_ms):
-    objects = [
-        t.WireObject(o.kind, o.name, o.version, _compress_json(o.value))
-        for o in message.objects
-    ]
+    objects = [_to_wire_object(item) for item in message.objects]
     return t.Body(objects=t.WireObjects(message.since, message.revision, objects))
 
 
@@ -584,13 +621,25 @@
 
 
 def _decode_objects(value, now_ms):
-    objects = [
-        StoreObject(o.kind, o.name, o.version, _decompress_json(o.value_zlib))
-        for o in value.objects
-    ]
+    objects = [_decode_object(item) for item in value.objects]
     return Objects(value.since, value.revision, objects)
 
 
+def _decode_state_reply(value, now_ms):
+    item = None if value.item is None else _decode_object(value.item)
+    return StateReply(bool(value.is_read), item, value.era or 0, value.reason or "")
+
+
+def _to_wire_object(item):
+    value = _compress_json(item.value)
+    return t.WireObject(item.kind, item.name, item.version, value)
+
+
+def _decode_object(value):
+    document = _decompress_json(value.value_zlib)
+    return StoreObject(value.kind, value.name, value.version, document)
+
+
 def _decode_permit_request(value, now_ms):
     return PermitRequest(
         customer=value.customer,
@@ -644,6 +693,8 @@
     ),
     "objects": _decode_objects,
     "hello": lambda value, now_ms: Hello(value.node, value.incarnation),
+    "state_request": lambda value, now_ms: StateRequest(value.service_name),
+    "state_reply": _decode_state_reply,
     "permit_request": _decode_permit_request,
     "permit_reply": _decode_permit_reply,
 }
