Suspect a peer only if nothing at all is heard from it

The hosts then answer pings later than 350 ms, relayed statements time out, and 10 to 20 hosts are suspected or marked as down by each other within 0.5 s, though all are alive. Ownership of databases moves, two hosts fill the slots and the connections of one database, and the overload goes on for 3 to 4 s.

Change: a ping or a relayed statement without an answer, and a heartbeat, count against a peer only if its connection has ended or nothing else arrived from it meanwhile.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
@@ -327,11 +327,13 @@
         return await local.execute(work, opener)
 
     async def _run_remotely(self, work, owner):
-        remaining_ms = work.deadline_ms - now_ms() + RELAY_TIMEOUT_MARGIN_MS
+        sent_at_ms = now_ms()
+        remaining_ms = work.deadline_ms - sent_at_ms + RELAY_TIMEOUT_MARGIN_MS
         try:
             answer = await self._request_from_owner(work, owner, remaining_ms / 1_000)
         except PeerUnavailableError as error:
-            self._node.mark_suspect(owner)
+            if not self._node.peers.has_heard_since(owner, sent_at_ms):
+                self._node.mark_suspect(owner)
             reach = Reach.SENT if error.is_sent else Reach.NOT_SENT
             outcome = Outcome.UNKNOWN if error.is_sent else Outcome.BUSY
             return WorkAnswer(outcome, reach, str(error), is_unreachable=True)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -353,9 +353,12 @@
 
     async def _send_heartbeat(self, target):
         timeout_s = HEARTBEAT_TIMEOUT_MS / 1_000
+        sent_at_ms = now_ms()
         try:
             reply = await self._node.peers.request(target, self._heartbeat(), timeout_s)
         except PeerUnavailableError as error:
+            if self._node.peers.has_heard_since(target, sent_at_ms):
+                return
             self._node.peers.discard(target)
             self._node.allowances.lessor.view.record_contact(target, is_answered=False)
             if self._node.membership.record_missed_heartbeat(target.name):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -621,12 +621,15 @@
             )
 
     async def ping(self, peer):
-        """Return whether a node answers a request now."""
+        """Return whether a node answers a request now, this one or another."""
         request = wire.HeadRequest("", 0)
+        asked_at_ms = now_ms()
         try:
             await self.peers.request(peer, request, PING_TIMEOUT_S)
         except PeerUnavailableError:
-            return False
+            # If this node itself was busy, what has arrived is read only now.
+            await anyio.sleep(0)
+            return self.peers.has_heard_since(peer, asked_at_ms)
         return True
 
     def owner(self, instance):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -130,12 +130,15 @@
         self._next_id = 1
         self.is_open = True
         self.used_at_ms = now_ms()
+        # When the newest frame of the peer arrived, whichever request it answers.
+        self.received_at_ms = now_ms()
 
     async def receive_answers(self):
         """Route incoming messages to their requests until the stream ends."""
         try:
             while True:
                 request_id, message = await self._frames.receive()
+                self.received_at_ms = now_ms()
                 answers = self._answer_streams.get(request_id)
                 if answers is not None and message is not None:
                     answers.send_nowait(message)
@@ -300,6 +303,29 @@
         if connection is not None:
             connection.is_open = False
 
+    def has_heard_since(self, node, since_ms):
+        """Return whether a node has sent anything since a time.
+
+        A node with much to do may answer one request late while it answers others.
+        That is no sign that it failed.
+
+        Parameters
+        ----------
+        node : Node
+            The other proxy.
+        since_ms : int
+            The time.
+
+        Returns
+        -------
+        bool
+            False also if the connection to it has ended.
+        """
+        connection = self._connections.get(node.address)
+        if connection is None or not connection.is_open:
+            return False
+        return connection.received_at_ms >= since_ms
+
     async def request(self, node, message, timeout_s):
         """Send a request and return its single answer.
 
