Replace a failed successor only by a copy that holds as much

Change: a copy takes the place of a failed successor only if it has received at least as much. A driver tries again at once only after such a failure, so at most once for each copy.

Ruled out: promoting what is left after a shorter wait: a booking that was confirmed and is lost costs the callers more than two seconds of refusals.

--- a/packages/bronzescale-core/src/bronzescale_core/succession.py
+++ b/packages/bronzescale-core/src/bronzescale_core/succession.py
@@ -113,3 +113,29 @@
         key=lambda c: (c.status.is_primary, c.status.received, c.instance),
         default=None,
     )
+
+
+def find_substitutes(chosen, candidates):
+    """Return the copies that may take the place of a chosen one that failed.
+
+    A copy that lacks what the chosen one has received would lose acknowledged writes,
+    while the chosen one may return with them.
+
+    Parameters
+    ----------
+    chosen : Candidate
+        Copy that was to be promoted.
+    candidates : sequence of Candidate
+        Paused copies with their status.
+
+    Returns
+    -------
+    list of Candidate
+    """
+    return [
+        c
+        for c in candidates
+        if c.instance != chosen.instance
+        and not c.is_leaving
+        and c.status.received >= chosen.status.received
+    ]
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -18,6 +18,7 @@
     Cause,
     Trigger,
     choose_successor,
+    find_substitutes,
     next_term,
 )
 from bronzescale_proxy import wire
@@ -277,26 +278,18 @@
             await self._change(trigger, failed)
         except SuccessorFailedError as error:
             failed.add(error.instance)
-            reason = str(error)
+            self._log_failed_change(error)
+            state = self._node.state(self._service)
+            if state is not None and state.writer == self._node.settings.node:
+                return Trigger(Cause.UNFINISHED, trigger.primary, str(error))
         except (StoreError, UpstreamUnavailableError) as error:
-            reason = str(error)
-        else:
-            return None
+            self._log_failed_change(error)
+        return None
+
+    def _log_failed_change(self, error):
         self._node.log.log_state_change(
-            "change_failed", service=self._service, reason=reason
+            "change_failed", service=self._service, reason=str(error)
         )
-        state = self._node.state(self._service)
-        is_own = state is not None and state.writer == self._node.settings.node
-        if not failed or not is_own or state.phase is Phase.ACTIVE:
-            return None
-        if all(c.instance in failed for c in self._successors(trigger.primary)):
-            return None
-        return Trigger(Cause.UNFINISHED, trigger.primary, reason)
-
-    def _successors(self, primary):
-        """Return the copies that may replace a primary."""
-        copies = self._node.catalog.copies(self._service)
-        return [copy for copy in copies if copy.instance != primary]
 
     async def _is_confirmed(self, trigger):
         """Return whether the other monitoring nodes confirm that the primary is down.
@@ -367,7 +360,7 @@
         if chosen in paused:
             await self._keep_paused(chosen, claim.term, expires_ms)
         await self._promote(chosen, claim, expires_ms)
-        await self._finish(chosen, claim)
+        await self._finish(chosen, claim, find_substitutes(chosen, paused))
 
     async def _collect_candidates(self, excluded=frozenset()):
         """Return every copy that answers, with its status, except excluded ones."""
@@ -552,8 +545,11 @@
                 )
             return
 
-    async def _finish(self, chosen, claim):
-        """Wait until the promotion took effect, publish it and resume the copies."""
+    async def _finish(self, chosen, claim, substitutes):
+        """Wait until the promotion took effect, publish it and resume the copies.
+
+        Raise `SuccessorFailedError` if the chosen copy fails and there is a substitute.
+        """
         deadline_ms = now_ms() + CLAIM_TIMEOUT_MS
         control = self._node.control(chosen.instance)
         detector = FailureDetector(now_ms(), DETECTION_LIMITS)
@@ -567,7 +563,7 @@
             if status is not None and status.is_primary:
                 break
             finding = detector.observe(outcome, now_ms())
-            if finding.verdict is Verdict.DOWN:
+            if finding.verdict is Verdict.DOWN and substitutes:
                 raise SuccessorFailedError(chosen.instance, finding.reason)
             if now_ms() > deadline_ms:
                 raise UpstreamUnavailableError(
