Let a failed successor step down instead of pausing it

Cause, by reading: a copy that failed during its promotion may come back as the primary of that term. A pause is for replicas; it would lead until it reached the new primary. No state names it, so no host sends it work, but it would keep copies from confirming the new one for that time.

Change: it gets the order that the old primary gets. Ruled out: waiting for its answer. No figures: the path needs a copy that fails during its promotion, see test_another_copy_is_promoted_without_waiting_for_the_claim (passes, as do the tests of drivers and fencing).

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -254,12 +254,12 @@
         )
         failed = set()
         while trigger is not None:
-            trigger = await self._change_or_explain(trigger, failed)
+            trigger = await self._try_change(trigger, failed)
         self._triggered_at_ms = None
         self._retry_at_ms = now_ms() + RETRY_AFTER_MS
 
-    async def _change_or_explain(self, trigger, failed):
-        """Change the primary; log why that failed.
+    async def _try_change(self, trigger, failed):
+        """Change the primary, and log the reason if that fails.
 
         Parameters
         ----------
@@ -463,19 +463,17 @@
         """Pause the copies, and make the old primary step down if it is reachable.
 
         The driver does not wait for the old primary's answer: if it is unreachable, its
-        lease bounds how long it can still acknowledge commits. It does not wait for
-        copies that failed during this change either, and does not promote them.
+        lease bounds how long it can still acknowledge commits. Copies that failed
+        during this change may have become primaries of an older term; they step down,
+        too.
         """
         codec = self._node.codec
         paused = []
         async with anyio.create_task_group() as tasks:
             for copy in self._node.catalog.copies(self._service):
-                if copy.instance == primary:
+                if copy.instance == primary or copy.instance in failed:
                     step_down = codec.step_down(term)
                     self._node.tasks.start_soon(self._send_command, copy, step_down, [])
-                elif copy.instance in failed:
-                    pause = codec.pause(term)
-                    self._node.tasks.start_soon(self._send_command, copy, pause, [])
                 else:
                     tasks.start_soon(
                         self._send_command, copy, codec.pause(term), paused
