--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -487,7 +487,6 @@
                 return _not_sent(str(error), Outcome.ABORTED)
         sent_at_ms = now_ms()
         until_ms = self._attempt_ends_ms(work, sent_at_ms)
-        self._monitor.record_sent(self.copy.instance)
         try:
             with anyio.fail_after(max(0.001, (until_ms - sent_at_ms) / 1_000)):
                 reply = await connection.run(work.request_id, text)
@@ -544,7 +543,7 @@
             )
 
     def _build_answer(self, work, reply, sent_at_ms):
-        self._monitor.record_answer(self.copy.instance, sent_at_ms)
+        self._monitor.record_answer(self.copy.instance)
         if self.copy.instance == self._monitor.primary and reply.is_done:
             self._monitor.lease.record_position(
                 self.copy.instance, reply.position, sent_at_ms
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
@@ -25,7 +25,6 @@
     PrimaryLease,
     copies_confirm_primary,
 )
-from bronzescale_core.probe_schedule import ProbeSchedule
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
@@ -54,7 +53,7 @@
 # primary that nobody published is assumed. Publishing takes a few store calls.
 UNKNOWN_SUCCESSOR_AFTER_MS = 1_500
 # Several times the round trip to another region.
-DETECTION_PROBE_TIMEOUT_S = 0.25
+DETECTION_PROBE_TIMEOUT_S = 0.3
 # Timeout of the extra probe made when another monitoring node asks for evidence of a
 # failure.
 EVIDENCE_PROBE_TIMEOUT_S = 0.25
@@ -103,7 +102,7 @@
         # When the newest request for a head that failed began.
         self._head_failed_at_ms = 0
         self._reported_term = 0
-        self._probes = ProbeSchedule(now_ms())
+        self._answered_at_ms = 0
         self._change_started_at_ms = 0
         self._successor = (None, 0)
         self._is_confirming = False
@@ -280,15 +279,10 @@
 
     # Renewal and failure detection
 
-    def record_sent(self, instance):
-        """Record that a statement is sent to a database."""
-        if instance == self._probed_primary:
-            self._probes.record_sent(now_ms())
-
-    def record_answer(self, instance, sent_at_ms):
+    def record_answer(self, instance):
         """Count an answer to a statement as an answered probe of the primary."""
         if instance == self._probed_primary:
-            self._probes.record_answer(now_ms(), now_ms() - sent_at_ms)
+            self._answered_at_ms = now_ms()
 
     async def run(self):
         """Renew the lease while it is used, and probe while this node monitors it."""
@@ -321,7 +315,7 @@
                 continue
             if self._probed_primary != primary:
                 self._probed_primary = primary
-                self._probes = ProbeSchedule(now_ms())
+                self._answered_at_ms = now_ms()
                 self.detector = FailureDetector(now_ms(), DETECTION_LIMITS)
             interval_ms = (
                 OWNER_PROBE_INTERVAL_MS
@@ -329,12 +323,10 @@
                 else MONITOR_PROBE_INTERVAL_MS
             )
             is_suspected = self.detector.finding(now_ms()).verdict is not Verdict.ALIVE
-            if is_suspected or self._probes.is_due(interval_ms, now_ms()):
+            if is_suspected or now_ms() - self._answered_at_ms >= interval_ms:
                 await self._probe_primary(primary)
             else:
-                self.detector.observe(
-                    ProbeOutcome.ANSWERED, self._probes.answered_at_ms
-                )
+                self.detector.observe(ProbeOutcome.ANSWERED, self._answered_at_ms)
             await anyio.sleep(PROBE_CHECK_INTERVAL_S)
 
     async def probe_now(self):
@@ -346,9 +338,6 @@
         primary = self.primary
         if primary is None:
             return Verdict.SUSPECT
-        if self.is_monitoring and self.finding().verdict is not Verdict.ALIVE:
-            # The newest probe of this node has failed, and is as good as another one.
-            return Verdict.DOWN
         control = self._node.control(primary)
         if control is None:
             return Verdict.DOWN
@@ -380,7 +369,7 @@
                 )
             return
         self.detector.observe(ProbeOutcome.ANSWERED, now_ms())
-        self._probes.record_answer(now_ms())
+        self._answered_at_ms = now_ms()
         self._record_status(primary, status, sent_at_ms)
 
     def _record_status(self, primary, status, sent_at_ms):
