Give each soak its own network; log refusals for want of a connection

(3) The test of a peer whose connection ended could not fail: nothing had been heard from it. (4) The fuzzer did not know the new messages between hosts.

Change: a soak reserves the first free network from that of its seed on, for as long as it runs; the owner refuses such a statement like any other; the test hears the peer first; StateRequest and StateReply are fuzzed.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -60,6 +60,7 @@
 # Sent as `retry_after_ms` with failures that may last until a change of primary ends.
 RETRY_AFTER_FAILURE_MS = 300
 
+NO_CONNECTION_IN_TIME = "no connection became free in time"
 TOO_FEW_CONNECTIONS = "too few connections are left for another transaction"
 
 _HEAD_UNKNOWN = WorkAnswer(
@@ -373,7 +374,9 @@
             return _not_sent(str(error), Outcome.BUSY, is_unreachable=is_unusable)
         except TimeoutError:
             self._record_timeout(now_ms() - asked_at_ms)
-            return _not_sent("no connection became free in time", Outcome.BUSY)
+            return self._refuse(
+                work, Refused(None, RETRY_AFTER_FAILURE_MS, NO_CONNECTION_IN_TIME)
+            )
         if work.step is WorkStep.SINGLE:
             is_abandoned = False
             try:
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -13,10 +13,11 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import Annotated
 
@@ -38,10 +39,37 @@
 # recovered, which is a violation.
 RECOVERY_TIMEOUT_S = 12.0
 LISTEN_PORTS = {"front": 8784, "ready": 8785, "control": 8782}
+# Loopback networks 127.0.N.x; a run takes the first free one from that of its seed on.
+SUBNETS = 200
+# Address and port that a run holds while it uses a network; no node listens there.
+RESERVED_HOST = 254
+RESERVED_PORT = 8780
 
 app = cyclopts.App(name="soak", help=__doc__)
 
 
+@contextmanager
+def reserve_subnet(seed):
+    """Yield the number of a loopback network that no other run uses meanwhile.
+
+    Raises
+    ------
+    OSError
+        If all are in use.
+    """
+    for offset in range(SUBNETS):
+        subnet = 1 + (seed + offset) % SUBNETS
+        with socket.socket() as reservation:
+            try:
+                reservation.bind((f"127.0.{subnet}.{RESERVED_HOST}", RESERVED_PORT))
+                reservation.listen(1)
+            except OSError:
+                continue
+            yield subnet
+            return
+    raise OSError("every loopback network is in use; end other runs of the soak")
+
+
 class SoakMember:
     """One node of the fleet, as a process."""
 
@@ -122,7 +150,8 @@
 
     def __init__(self, seed, node_count, folder, customer_count):
         self.rng = random.Random(seed)
-        self.subnet = 1 + seed % 200
+        self.seed = seed
+        self.subnet = None
         self.folder = folder
         self.links = LinkTable({})
         customers = {f"c{n}": [f"{n}-1", f"{n}-2"] for n in range(customer_count)}
@@ -141,6 +170,7 @@
         """Inject faults for some seconds and return the violated guarantees."""
         async with anyio.create_task_group() as tasks:
             with ExitStack() as stack:
+                self.subnet = stack.enter_context(reserve_subnet(self.seed))
                 self.world.tasks = tasks
                 await self._start_standins(tasks)
                 await self._start_members(tasks, stack)
--- a/packages/bronzescale-standins/src/bronzescale_standins/fuzz.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fuzz.py
@@ -130,6 +130,9 @@
         wire.Hello("n1", 5),
         wire.PermitRequest("c1", 3, 1, 12, 2, "n1", 77, True, True),
         wire.PermitReply(3, 300, 20, True, 15, 77, 12),
+        wire.StateRequest("s"),
+        wire.StateReply(True, StoreObject("groups", "s", 7, {"term": 2}), 1, ""),
+        wire.StateReply(False, None, 0, "the store is down"),
         work,
         WorkAnswer(Outcome.DONE, Reach.ANSWERED, "", ("row",), "sig"),
     )
--- a/tests/test_fleet_busy_peer.py
+++ b/tests/test_fleet_busy_peer.py
@@ -66,6 +66,9 @@
             node, peer = (m.process.node for m in world.members)
             target = peer.membership.own
             asked_at_ms = now_ms()
+            self.answered_services.add("other")
+            await node.peers.request(target, wire.HeadRequest("other", 0), 5)
+            self.assertTrue(node.peers.has_heard_since(target, asked_at_ms))
             world.members[1].kill()
             await world.members[1].ended.wait()
             try:
--- a/tests/test_fleet_scheduling.py
+++ b/tests/test_fleet_scheduling.py
@@ -6,6 +6,7 @@
 from bronzescale_core.catalog import ServiceLimits
 from bronzescale_core.work import Outcome, Reach, Work, WorkStep
 from bronzescale_proxy.clock import now_ms
+from bronzescale_proxy.fleet.pool import ConnectionPool
 from bronzescale_standins.fleet.testing import in_loop, primary_of
 from bronzescale_standins.fleet.world import ROUTES, running_world
 
@@ -88,6 +89,21 @@
             self.assertEqual(3, len(waits_ms))
             self.assertTrue(waits_ms[2] > waits_ms[0], waits_ms)
 
+    @in_loop
+    async def test_refusal_for_want_of_a_connection_is_logged_like_others(self):
+        async def never_free(*arguments, **options):
+            await anyio.sleep_forever()
+
+        async with running_world() as world:
+            await configure(world, URGENT_ROUTES)
+            node, owner = primary_owner(world)
+            self.patch(ConnectionPool, "acquire", never_free)
+            answer = await owner.execute(work(world, 1, priority=2, left_ms=200), None)
+            self.assertEqual((Outcome.BUSY, Reach.NOT_SENT), answer[:2])
+            (line,) = node.log.events("slot_refused")
+            self.assertEqual(("w1", answer.reason), (line["request"], line["reason"]))
+            self.assertTrue(answer.retry_after_ms > 0)
+
     @in_loop
     async def test_refusals_are_logged_and_counted_and_did_not_run(self):
         async with running_world(work_s=0.05, slots=1) as world:
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from bronzescale_standins.fleet import soak
 from bronzescale_standins.fleet.database import Group, LogEntry
 from bronzescale_standins.fleet.soak_history import Operation, check
 
@@ -143,3 +144,15 @@
         self.assertEqual(["locked out"], self.violated(refused))
         late = refused._replace(began_s=55.0, ended_s=55.1)
         self.assertEqual([], self.violated(late))
+
+
+class SubnetTest(testtools.TestCase):
+    def test_two_runs_of_one_seed_use_different_networks(self):
+        with soak.reserve_subnet(7) as first, soak.reserve_subnet(7) as second:
+            self.assertNotEqual(first, second)
+
+    def test_network_is_free_again_after_a_run(self):
+        with soak.reserve_subnet(7) as first:
+            pass
+        with soak.reserve_subnet(7) as second:
+            self.assertEqual(first, second)
