Share what the queues know of their slots, and one type of load report

Three queues in front of one slot table (admission, scheduling, slot queue) each repeated its properties, and entry hosts had two records of what an owner reports: one in the placement, and one that only tests made, with the same arithmetic of a draining backlog.

Change: SlotUser holds the shared properties, and the slot queue keeps its table itself; LoadReport in backlog_reports serves the placement and the refusal. What is decided stays as it was. Ruled out: one queue class for both orders, since they share no decision.

Tests only construct the one type now.

--- a/packages/bronzescale-core/src/bronzescale_core/admission.py
+++ b/packages/bronzescale-core/src/bronzescale_core/admission.py
@@ -190,6 +190,34 @@
                 running.overtaking_count += 1
 
 
+class SlotUser:
+    """Base of the queues in front of one slot table.
+
+    Parameters
+    ----------
+    table : SlotTable
+        Slots of the database, perhaps with running tickets of another queue.
+    """
+
+    def __init__(self, table):
+        self._table = table
+
+    @property
+    def running(self):
+        """Return how many tickets hold a slot."""
+        return self._table.running
+
+    @property
+    def service_time_ms(self):
+        """Return the moving average of the time that a statement holds a slot."""
+        return self._table.service_time_ms
+
+    @property
+    def overdue_ms(self):
+        """Return how long a statement may hold its slot before it is overdue."""
+        return self._table.overdue_ms
+
+
 class _ClassQueue:
     """Tickets of one work class, earliest deadline first."""
 
@@ -225,7 +253,7 @@
         return sum(t.deadline_ms <= deadline_ms for t in self._waiting.values())
 
 
-class AdmissionQueue:
+class AdmissionQueue(SlotUser):
     """Bounded queue in front of the slots of one database.
 
     Writes and reads have separate queues. A free slot goes to a write first, and to a
@@ -252,33 +280,18 @@
     """
 
     def __init__(self, slots, max_queued, max_wait_share=MAX_WAIT_SHARE, *, table=None):
-        self._table = SlotTable(slots) if table is None else table
+        super().__init__(SlotTable(slots) if table is None else table)
         self._max_queued = max_queued
         self._max_wait_share = max_wait_share
         self._queues = {work_class: _ClassQueue() for work_class in WorkClass}
         self._consecutive_writes = 0
         self.refused_total = 0
 
-    @property
-    def table(self):
-        """Return the slots, which another queue may take over with what runs."""
-        return self._table
-
     @property
     def queued(self):
         """Return how many tickets are waiting."""
         return sum(len(queue) for queue in self._queues.values())
 
-    @property
-    def running(self):
-        """Return how many tickets hold a slot."""
-        return self._table.running
-
-    @property
-    def service_time_ms(self):
-        """Return the moving average of the time that a statement holds a slot."""
-        return self._table.service_time_ms
-
     @property
     def slots(self):
         """Return how many slots the database has."""
@@ -339,11 +352,6 @@
         """Let a ticket wait here that waited in another queue of the same slots."""
         self._queues[ticket.work_class].push(ticket)
 
-    @property
-    def overdue_ms(self):
-        """Return how long a statement may hold its slot before it is overdue."""
-        return self._table.overdue_ms
-
     def release_overdue(self, now_ms):
         """Release the slots of overdue statements and admit waiting ones.
 
--- a/packages/bronzescale-core/src/bronzescale_core/backlog_reports.py
+++ b/packages/bronzescale-core/src/bronzescale_core/backlog_reports.py
@@ -12,29 +12,52 @@
 
 # An older report says too little about the backlog now.
 MAX_REPORT_AGE_MS = 1_000
+# The weight of a load report halves in this time.
+LOAD_HALF_LIFE_MS = 150.0
 
 
-class BacklogReport(NamedTuple):
-    """Expected waits that the owner of a database reported.
+class LoadReport(NamedTuple):
+    """What the owner of a database reported of it with an answer.
 
     Parameters
     ----------
+    load : float
+        Statements per slot, running and queued.
+    service_ms : float
+        How long a statement holds a slot; 0 if unknown.
     waits_ms : tuple of int
         Expected wait for a slot for each priority from 0, see `WorkAnswer`.
     at_ms : int
         When the report arrived.
     """
 
+    load: float
+    service_ms: float
     waits_ms: tuple
     at_ms: int
 
+    def backlog_ms(self, priority, now_ms):
+        """Return the least time that the reported backlog still takes to drain."""
+        return max(0.0, self._wait_ms(priority) - (now_ms - self.at_ms))
+
+    def has_free_slot(self, priority, now_ms):
+        """Return whether a slot is free, as far as the report tells."""
+        is_free = not self._wait_ms(priority) if self.waits_ms else self.load < 1
+        is_current = now_ms - self.at_ms < LOAD_HALF_LIFE_MS
+        return is_free or not (is_current or self.backlog_ms(priority, now_ms))
+
+    def _wait_ms(self, priority):
+        if self.waits_ms:
+            return self.waits_ms[min(priority, len(self.waits_ms) - 1)]
+        return max(0.0, (self.load - 1) * self.service_ms)
+
 
 def remaining_wait_ms(report, priority, now_ms):
     """Return the wait that is left of a reported one, or None if it is unknown.
 
     Parameters
     ----------
-    report : BacklogReport or None
+    report : LoadReport or None
         Newest report of the database.
     priority : int
         Priority of the statement.
@@ -47,11 +70,9 @@
     """
     if report is None or not report.waits_ms:
         return None
-    age_ms = now_ms - report.at_ms
-    if age_ms > MAX_REPORT_AGE_MS:
+    if now_ms - report.at_ms > MAX_REPORT_AGE_MS:
         return None
-    wait_ms = report.waits_ms[min(priority, len(report.waits_ms) - 1)]
-    return max(0.0, wait_ms - age_ms)
+    return report.backlog_ms(priority, now_ms)
 
 
 def refuse_by_reports(work, reports, now_ms):
@@ -64,7 +85,7 @@
     ----------
     work : Work
         The statement.
-    reports : sequence of (BacklogReport or None)
+    reports : sequence of (LoadReport or None)
         Newest report of each database that could run it.
     now_ms : int
         Current time.
--- a/packages/bronzescale-core/src/bronzescale_core/placement.py
+++ b/packages/bronzescale-core/src/bronzescale_core/placement.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from bronzescale_core.backlog_reports import LOAD_HALF_LIFE_MS, LoadReport
 from bronzescale_core.lagging import LaggingCopies
 from bronzescale_core.outliers import choose_avoided
 from bronzescale_core.positions import ORIGIN, Position
@@ -24,8 +25,6 @@
 FAR_COST_MS = 62.0
 # Only the primary can run writes, so reads avoid it while replicas have free slots.
 PRIMARY_COST_MS = 12.0
-# The weight of a load report halves in this time.
-LOAD_HALF_LIFE_MS = 150.0
 # After a failure, a database is ordered last until this time has passed.
 PENALTY_MS = 500
 # Above this mean service time, the database rather than its statements is slow.
@@ -68,28 +67,6 @@
     PENALISED = "penalised"
 
 
-class _LoadReport(NamedTuple):
-    load: float
-    service_ms: float
-    waits_ms: tuple
-    at_ms: int
-
-    def backlog_ms(self, priority, now_ms):
-        """Return the least time that the reported backlog still takes to drain."""
-        return max(0.0, self._wait_ms(priority) - (now_ms - self.at_ms))
-
-    def has_free_slot(self, priority, now_ms):
-        """Return whether a slot is free, as far as the report tells."""
-        is_free = not self._wait_ms(priority) if self.waits_ms else self.load < 1
-        is_current = now_ms - self.at_ms < LOAD_HALF_LIFE_MS
-        return is_free or not (is_current or self.backlog_ms(priority, now_ms))
-
-    def _wait_ms(self, priority):
-        if self.waits_ms:
-            return self.waits_ms[min(priority, len(self.waits_ms) - 1)]
-        return max(0.0, (self.load - 1) * self.service_ms)
-
-
 class _Standing(NamedTuple):
     """Rank of one database for one read; the least is the best."""
 
@@ -147,7 +124,7 @@
         waits_ms : tuple of int
             Expected wait for a slot there, for each priority; empty if unknown.
         """
-        self._load_reports[instance] = _LoadReport(load, service_ms, waits_ms, now_ms)
+        self._load_reports[instance] = LoadReport(load, service_ms, waits_ms, now_ms)
 
     def record_ejection(self, instance, until_ms):
         """Record an ejection that a database's owner reported."""
--- a/packages/bronzescale-core/src/bronzescale_core/scheduling.py
+++ b/packages/bronzescale-core/src/bronzescale_core/scheduling.py
@@ -13,6 +13,7 @@
     Queued,
     Refused,
     SlotTable,
+    SlotUser,
     WorkClass,
 )
 from bronzescale_core.fair_queue import Waiting
@@ -26,7 +27,7 @@
 MAX_LISTED_CUSTOMERS = 5
 
 
-class Scheduler:
+class Scheduler(SlotUser):
     """Bounded queue in front of the slots of one database.
 
     The order is: priority of the route, priority of the customer, statements that can
@@ -45,7 +46,7 @@
 
     def __init__(self, max_queued, table: SlotTable, rules=None):
         self._max_queued = max_queued
-        self._table = table
+        super().__init__(table)
         self._rules = Rules() if rules is None else rules
         self._estimates = WorkEstimates()
         self._levels = PriorityLevels(table.slots, self._rules)
@@ -55,31 +56,11 @@
         self._swept_at_ms = 0
         self._decisions = []
 
-    @property
-    def table(self):
-        """Return the slots, which another queue may take over with what runs."""
-        return self._table
-
     @property
     def queued(self):
         """Return how many statements wait."""
         return len(self._waiting)
 
-    @property
-    def running(self):
-        """Return how many statements hold a slot."""
-        return self._table.running
-
-    @property
-    def service_time_ms(self):
-        """Return the moving average of the time that a statement holds a slot."""
-        return self._table.service_time_ms
-
-    @property
-    def overdue_ms(self):
-        """Return how long a statement may hold its slot before it is overdue."""
-        return self._table.overdue_ms
-
     def offer(self, request, now_ms):
         """Admit, queue or refuse a statement.
 
--- a/packages/bronzescale-core/src/bronzescale_core/slot_queue.py
+++ b/packages/bronzescale-core/src/bronzescale_core/slot_queue.py
@@ -4,11 +4,11 @@
 there is a policy. What runs and waits moves along when the policy comes or goes.
 """
 
-from bronzescale_core.admission import AdmissionQueue, Queued
+from bronzescale_core.admission import AdmissionQueue, Queued, SlotTable, SlotUser
 from bronzescale_core.scheduling import Scheduler
 
 
-class SlotQueue:
+class SlotQueue(SlotUser):
     """Queue in front of the slots of one database.
 
     Parameters
@@ -20,7 +20,8 @@
     """
 
     def __init__(self, slots, max_queued):
-        self._queue = AdmissionQueue(slots, max_queued)
+        super().__init__(SlotTable(slots))
+        self._queue = AdmissionQueue(slots, max_queued, table=self._table)
         self._max_queued = max_queued
         self._waiting = {}
         self.policy = None
@@ -30,21 +31,6 @@
         """Return how many statements wait."""
         return self._queue.queued
 
-    @property
-    def running(self):
-        """Return how many statements hold a slot."""
-        return self._queue.running
-
-    @property
-    def service_time_ms(self):
-        """Return the moving average of the time that a statement holds a slot."""
-        return self._queue.service_time_ms
-
-    @property
-    def overdue_ms(self):
-        """Return how long a statement may hold its slot before it is overdue."""
-        return self._queue.overdue_ms
-
     @property
     def is_scheduled(self):
         """Return whether statements are scheduled by priority and customer."""
@@ -68,7 +54,7 @@
         was_scheduled, self.policy = self.is_scheduled, policy
         if was_scheduled == self.is_scheduled:
             return []
-        table = self._queue.table
+        table = self._table
         if self.is_scheduled:
             self._queue = Scheduler(self._max_queued, table)
         else:
--- a/packages/bronzescale-core/tests/test_scheduling_inputs.py
+++ b/packages/bronzescale-core/tests/test_scheduling_inputs.py
@@ -5,7 +5,7 @@
 from bronzescale_core.admission import WorkClass
 from bronzescale_core.backlog_reports import (
     MAX_REPORT_AGE_MS,
-    BacklogReport,
+    LoadReport,
     refuse_by_reports,
 )
 from bronzescale_core.catalog import Configuration, Route, RouteKind
@@ -35,6 +35,11 @@
     return Work("svc", "d1", WorkStep.SINGLE, request_id, "READ x", **fields)
 
 
+def report_of(waits_ms, at_ms):
+    """Return an owner's report of which only the waits matter here."""
+    return LoadReport(0.0, 0.0, waits_ms, at_ms)
+
+
 class TestPolicy(TestCase):
     def test_a_deployment_that_asks_for_nothing_keeps_the_plain_queue(self):
         self.assertIs(None, find_policy(None))
@@ -69,35 +74,35 @@
     """A service at several times its capacity, seen from an entry host."""
 
     def test_refused_if_no_database_can_start_it_in_time(self):
-        reports = [BacklogReport((0, 1_500), 0), BacklogReport((0, 2_000), 0)]
+        reports = [report_of((0, 1_500), 0), report_of((0, 2_000), 0)]
         answer = refuse_by_reports(work(), reports, 10)
         self.assertEqual((Outcome.BUSY, Reach.NOT_SENT), answer[:2])
         self.assertTrue(1_490 <= answer.retry_after_ms <= 2_980, answer)
         self.assertTrue(is_capacity_refusal(answer))
 
     def test_urgent_statements_are_judged_by_their_own_wait(self):
-        reports = [BacklogReport((0, 1_500), 0)]
+        reports = [report_of((0, 1_500), 0)]
         self.assertIs(None, refuse_by_reports(work(priority=0), reports, 10))
 
     def test_sent_if_one_database_is_unknown_or_free(self):
-        full = BacklogReport((2_000, 2_000), 0)
-        for other in (None, BacklogReport((), 0), BacklogReport((0, 20), 0)):
+        full = report_of((2_000, 2_000), 0)
+        for other in (None, report_of((), 0), report_of((0, 20), 0)):
             self.assertIs(None, refuse_by_reports(work(), [full, other], 0))
         self.assertIs(None, refuse_by_reports(work(), [], 0))
 
     def test_old_reports_refuse_nothing(self):
-        report = BacklogReport((90_000, 90_000), 0)
+        report = report_of((90_000, 90_000), 0)
         late = MAX_REPORT_AGE_MS + 1
         statement = work(deadline_ms=late + 1_000)
         self.assertIs(None, refuse_by_reports(statement, [report], late))
 
     def test_a_backlog_drains_while_nothing_is_heard_of_it(self):
-        report = BacklogReport((1_500, 1_500), 0)
+        report = report_of((1_500, 1_500), 0)
         statement = work(deadline_ms=1_600)
         self.assertIs(None, refuse_by_reports(statement, [report], 200))
 
     def test_callers_are_sent_back_at_different_times(self):
-        report = BacklogReport((3_000, 3_000), 0)
+        report = report_of((3_000, 3_000), 0)
         times_ms = {
             refuse_by_reports(work(f"q{n}"), [report], 0).retry_after_ms
             for n in range(100)
