Test that a list of groups proves nothing in an unconfirmed era; plainer words

Cause: reading the change again. A list of groups renews leases only if the store cannot have lost a change of primary, and no test brought that about. Some texts used the platform's wording for a store that refuses hosts. The stand-in had a switch that nothing reads.

--- a/packages/bronzescale-core/src/bronzescale_core/store_paths.py
+++ b/packages/bronzescale-core/src/bronzescale_core/store_paths.py
@@ -1,17 +1,18 @@
 """Choose how a host reads the store: itself, or through a peer.
 
-The load that this answers: the store turns some hosts away for seconds and serves the
-others, while a copy that would confirm the primary is unreachable. The host that owns
-the primary's connections then cannot prove that the primary still leads, and refuses
-all that needs it, although every other host could ask the store.
+The load that this answers: the store refuses a part of the hosts for seconds, while a
+copy that would confirm the primary is unreachable. The host that owns the primary's
+connections then cannot prove that the primary still leads, and refuses all that needs
+it, although every other host could ask the store.
 """
 
-# Attempts through peers for one read; with a third of the hosts turned away, one of
-# them almost always succeeds.
+# Attempts through peers for one read; with a third of the hosts refused, one of them
+# almost always succeeds.
 MAX_PEERS = 3
 # A path that failed is tried last for this time.
 FAILED_PATH_MS = 1_000
-# Least time after which the next path is tried beside one that has not answered.
+# Least time after which the next path is tried beside one that has not answered; a
+# round trip to another region takes less than half of it.
 MIN_HEDGE_MS = 150
 # Multiple of the usual time of a direct answer after which the next path is tried; a
 # store that is slow for everybody does not get more calls for it.
--- a/packages/bronzescale-core/tests/test_store_paths.py
+++ b/packages/bronzescale-core/tests/test_store_paths.py
@@ -1,4 +1,4 @@
-"""Paths to the store while it turns some hosts away and serves the others."""
+"""Paths to the store while it refuses a part of the hosts."""
 
 import random
 
@@ -33,7 +33,7 @@
         for now_ms in range(0, 5_000, 250):
             self.assertEqual([DIRECT], read(paths, PEERS, {DIRECT}, now_ms))
 
-    def test_a_host_that_is_turned_away_keeps_to_the_peer_that_helped(self):
+    def test_a_refused_host_keeps_to_the_peer_that_helped(self):
         paths = StorePaths()
         answering = {"n2", "n7"}
         self.assertEqual([DIRECT, "n1", "n2"], read(paths, PEERS, answering, 0))
@@ -56,7 +56,7 @@
         second = read(paths, PEERS, set(), 100)
         self.assertEqual(set(), (set(first) & set(second)) - {DIRECT})
 
-    def test_a_third_of_the_hosts_turned_away(self):
+    def test_a_third_of_the_hosts_refused(self):
         """Pattern: a third of 30 hosts, for 9 s, with reads every 0.3 s."""
         source = random.Random(7)
         failed_reads = 0
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
@@ -28,7 +28,6 @@
         self.is_down = False
         self.delay_s = 0.0
         self.lose_next_write_answers = 0
-        self.turned_away = set()
         self.refuses_promotions = False
 
 
--- a/tests/test_fleet_cold_start.py
+++ b/tests/test_fleet_cold_start.py
@@ -44,6 +44,20 @@
             renewal = node.primary_monitor("svc").lease.renewal
             self.assertEqual(world.group.primary().instance, renewal.upstream)
 
+    @in_loop
+    async def test_list_of_groups_renews_nothing_in_an_era_without_a_state(self):
+        """The store may have returned from a copy that lacks a change of primary."""
+
+        async def never_renew(monitor, primary):
+            await anyio.sleep_forever()
+
+        async with running_world(nodes=1) as world:
+            self.patch(PrimaryMonitor, "_renew_lease", never_renew)
+            await world.restart_member(world.members[0])
+            node = world.members[0].process.node
+            self.assertEqual(world.platform.era, node.store.era.number)
+            self.assertIs(None, node.primary_monitor("svc").lease.renewal)
+
     @in_loop
     async def test_list_of_groups_renews_no_lease_of_a_replaced_primary(self):
         async with running_world(nodes=1) as world:
--- a/tests/test_fleet_store_paths.py
+++ b/tests/test_fleet_store_paths.py
@@ -1,4 +1,4 @@
-"""Reads of group states while the store turns single hosts away."""
+"""Reads of group states while the store refuses single hosts."""
 
 import testtools
 
@@ -9,7 +9,7 @@
 
 
 class StorePathsTest(testtools.TestCase):
-    """One host is turned away by the store while a replica does not answer.
+    """The store refuses one host while a replica does not answer.
 
     The copies then cannot confirm the primary, and only the store can.
     """
