Pull only newer objects, one pull at a time; one kind probes a store that is away

By reading: each heartbeat that shows a difference pulls all objects of the kind (of all kinds before a node is synchronized), several at once, in both directions, and each answer compresses each object anew. A fleet that registers at once differs at each heartbeat.

Change: a planner in the core begins one pull of a kind at a time and asks for what is newer than what is known; if that brought nothing, for all. Compressed values are kept while they are in force. While the store is away one kind asks again instead of four.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -13,6 +13,7 @@
     HEARTBEAT_TIMEOUT_MS,
     Rumor,
 )
+from bronzescale_core.pulls import PullPlanner
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
@@ -34,6 +35,8 @@
 WATCHED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
 # Longest wait of a watch that the platform allows; shorter waits cost more calls.
 WATCH_WAIT_MS = 20_000
+# Wait of the first watch after a failure.
+RETRY_WATCH_WAIT_MS = 1
 # First delay before a retry: a store that refused a single call is asked again after a
 # few of its response times.
 STORE_RETRY_MIN_S = 0.15
@@ -43,6 +46,9 @@
 # Longest delay of a node that has no objects yet: until it has them, it serves no
 # callers.
 STORE_RETRY_MAX_UNSYNCHRONIZED_S = 0.3
+# Delay of the kinds that wait for another one to be answered. Below the shortest time
+# in which a configuration must be in force.
+STORE_RETRY_OTHERS_S = 2.5
 # Several round trips to another region; the next heartbeat triggers another pull.
 PULL_TIMEOUT_S = 1.0
 # Nodes of each zone that watch the store and push changes to the rest of the zone.
@@ -78,6 +84,9 @@
         self._watcher_version = None
         self._is_watcher = False
         self._store_answered = anyio.Event()
+        # The kind whose calls find out whether the store answers again.
+        self._probing_kind = None
+        self._pulls = PullPlanner()
         node.store.era.change_listeners.append(self._end_watches)
         self.has_synchronized_from_peer = False
 
@@ -129,15 +138,30 @@
                 revision = None
             except StoreError as error:
                 self._record_store_failure(kind, error)
-                # The first kind that the store answers again wakes the others.
-                with anyio.move_on_after(retry_s * self._random.uniform(0.7, 1.3)):
-                    await self._store_answered.wait()
-                retry_max_s = (
-                    STORE_RETRY_MAX_S
-                    if self.is_synchronized
-                    else STORE_RETRY_MAX_UNSYNCHRONIZED_S
-                )
-                retry_s = min(retry_max_s, retry_s * 2)
+                retry_s = await self._wait_to_retry(kind, retry_s)
+
+    async def _wait_to_retry(self, kind, retry_s):
+        """Wait after a failed call; return the delay before the next retry.
+
+        One kind asks again at these delays. The first answer wakes the others, which
+        ask by themselves only rarely: the store may refuse a single kind.
+        """
+        if self._probing_kind is None:
+            self._probing_kind = kind
+        is_probing = self._probing_kind == kind
+        delay_s = retry_s if is_probing else max(retry_s, STORE_RETRY_OTHERS_S)
+        try:
+            with anyio.move_on_after(delay_s * self._random.uniform(0.7, 1.3)):
+                await self._store_answered.wait()
+        finally:
+            if is_probing:
+                self._probing_kind = None
+        retry_max_s = (
+            STORE_RETRY_MAX_S
+            if self.is_synchronized
+            else STORE_RETRY_MAX_UNSYNCHRONIZED_S
+        )
+        return min(retry_max_s, retry_s * 2)
 
     async def _list_kind(self, kind):
         asked_at_ms = now_ms()
@@ -159,10 +183,13 @@
         return listing.version
 
     async def _watch_kind(self, kind, revision):
+        # A watch that waits would not tell whether the store answers again.
+        is_failing = kind in self._failing_kinds
+        wait_ms = RETRY_WATCH_WAIT_MS if is_failing else WATCH_WAIT_MS
         with anyio.CancelScope() as scope:
             self._watch_scopes.add(scope)
             try:
-                changes = await self._node.store.watch(kind, revision, WATCH_WAIT_MS)
+                changes = await self._node.store.watch(kind, revision, wait_ms)
             finally:
                 self._watch_scopes.discard(scope)
         if scope.cancelled_caught:
@@ -412,17 +439,26 @@
             if own_digest != peer_digest
         ]
         if sender is not None and (different_kinds or not self.is_synchronized):
-            kinds = different_kinds if self.is_synchronized else ()
-            try:
-                await self._pull(sender, kinds)
-            except PeerUnavailableError as error:
-                self._node.log.log_decision(
-                    "pull_failed", peer=sender.name, kinds=kinds, reason=str(error)
-                )
+            await self._pull_different(sender, different_kinds)
+
+    async def _pull_different(self, sender, kinds):
+        """Pull from a peer what it may know better, unless a pull is under way."""
+        newest = self._node.newest_versions()
+        plan = self._pulls.begin(kinds, self.is_synchronized, newest)
+        if plan is None:
+            return
+        try:
+            await self._pull(sender, plan.kinds, plan.since)
+        except PeerUnavailableError as error:
+            self._node.log.log_decision(
+                "pull_failed", peer=sender.name, kinds=plan.kinds, reason=str(error)
+            )
+        finally:
+            self._pulls.end(plan)
 
-    async def _pull(self, peer, kinds=()):
+    async def _pull(self, peer, kinds=(), since=0):
         reply = await self._node.peers.request(
-            peer, wire.ObjectsRequest(0, tuple(kinds)), PULL_TIMEOUT_S
+            peer, wire.ObjectsRequest(since, tuple(kinds)), PULL_TIMEOUT_S
         )
         if isinstance(reply, wire.Objects):
             self.apply_objects(reply)
@@ -463,7 +499,7 @@
         """
         if not self.is_synchronized:
             return wire.Objects(request.since, 0, [])
-        found = self._node.objects_of(request.kinds)
+        found = self._node.objects_of(request.kinds, request.since)
         revision = 0 if request.kinds else 1
         return wire.Objects(request.since, revision, found)
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -298,15 +298,29 @@
         self._digests = tuple(version_sums[kind] & DIGEST_MASK for kind in SHARED_KINDS)
         return self._digests
 
-    def objects_of(self, kinds):
-        """Return every known object of some kinds, deleted ones included.
+    def newest_versions(self):
+        """Return the newest version that is known of the objects of each kind."""
+        newest = dict.fromkeys(SHARED_KINDS, 0)
+        for item in self.objects.values():
+            if item.version > newest.get(item.kind, item.version):
+                newest[item.kind] = item.version
+        return newest
+
+    def objects_of(self, kinds, since=0):
+        """Return the known objects of some kinds, deleted ones included.
+
+        Only those with a version above `since` are returned.
 
         Reports of databases that the store has lost come first, so that a node which
         applies the objects in this order knows them before the store's own entries.
         """
         wanted = set(kinds or SHARED_KINDS) & set(SHARED_KINDS)
         lost = self._departures.lost_items() if UPSTREAMS in wanted else []
-        return lost + [item for item in self.objects.values() if item.kind in wanted]
+        return lost + [
+            item
+            for item in self.objects.values()
+            if item.kind in wanted and item.version > since
+        ]
 
     def notify(self):
         """Wake the tasks that wait for a change of this node's state."""
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -29,6 +29,8 @@
 # Largest frame accepted from a peer; also bounds what a compressed object may expand
 # to. Without it, one corrupt length prefix could exhaust the process's memory.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
+# More than the hosts and databases of the largest fleet.
+MAX_COMPRESSED_VALUES = 4_096
 ZLIB_LEVEL = 6
 # A step crosses the wire as its index, so the order of `WorkStep` is part of the
 # protocol.
@@ -264,9 +266,29 @@
     objects: list
 
 
-def _compress_json(value):
-    """Compress a JSON value; this reduces a declaration to a tenth of its size."""
-    return zlib.compress(json.dumps(value).encode(), ZLIB_LEVEL)
+class _CompressedValues:
+    """Compressed values of the objects that were sent last.
+
+    A change is sent to many peers, and compressing a large one takes milliseconds.
+    """
+
+    def __init__(self):
+        self._known = {}
+
+    def get(self, item):
+        """Return an object's value as compressed JSON, a tenth of its plain size."""
+        key = item.kind, item.name
+        known = self._known.get(key)
+        if known is not None and known[0] is item.value:
+            return known[1]
+        data = zlib.compress(json.dumps(item.value).encode(), ZLIB_LEVEL)
+        if len(self._known) >= MAX_COMPRESSED_VALUES:
+            self._known.clear()
+        self._known[key] = item.value, data
+        return data
+
+
+_COMPRESSED_VALUES = _CompressedValues()
 
 
 def _decompress_json(data):
@@ -639,7 +661,7 @@
 
 
 def _to_wire_object(item):
-    value = _compress_json(item.value)
+    value = _COMPRESSED_VALUES.get(item)
     return t.WireObject(item.kind, item.name, item.version, value)
 
 
