Keep a customer's bucket from hosts that wrongly take its lessor as down

Cause: a host that was cut off for a moment still takes all others as down when the cut ends, and asks the lessor for its bucket. The lessor gave it away, asked the two hosts next in rank, which had none, and began anew with a second's worth of tokens: two lessors. Ruled out: the tokens at a start (same figures without them), the settling time (same figures with the old rule), and shorter validity of permits.

Change: a host that is first in its own view keeps the bucket from hosts that rank behind it by hash, which it can tell also of hosts that it does not know. The answer names it, so that the other host learns of it; a host of an older release is kept from granting by negative tokens. A host that has just started asks hosts of each distance at once.

--- a/packages/bronzescale-core/src/bronzescale_core/contacts.py
+++ b/packages/bronzescale-core/src/bronzescale_core/contacts.py
@@ -69,7 +69,10 @@
         return 1 + sum(1 for node in nodes if self._distance(node) <= reach)
 
     def choose_to_ask(self, nodes, draw, now_ms):
-        """Return a host to send a request to, since hosts like it are silent, or None.
+        """Return hosts to send a request to, since hosts like them are silent.
+
+        One for each distance at once: a host that has just started would else learn of
+        each distance only after the one before.
 
         Parameters
         ----------
@@ -82,14 +85,15 @@
 
         Returns
         -------
-        Node or None
+        list of Node
         """
+        chosen = []
         for distances in _GROUPS:
             if now_ms - self._heard_of(distances) > DOUBT_MS:
                 silent = [node for node in nodes if self._distance(node) in distances]
                 if silent:
-                    return silent[int(draw() * len(silent))]
-        return None
+                    chosen.append(silent[int(draw() * len(silent))])
+        return list(dict.fromkeys(chosen))
 
     def _reach(self, now_ms):
         """Return the distance up to which hosts count; negative for none."""
--- a/packages/bronzescale-core/src/bronzescale_core/lessor_ranks.py
+++ b/packages/bronzescale-core/src/bronzescale_core/lessor_ranks.py
@@ -74,6 +74,15 @@
         ranked = self.rank(customer)
         return bool(ranked) and ranked[0].name == self._own_name
 
+    def keeps_from(self, customer, name):
+        """Return whether this host stays the lessor although another one claims it.
+
+        The other one ranks behind it, known here or not, and takes it as down.
+        """
+        key = _ranking_key(customer)
+        is_behind = _order(key, self._own_name) < _order(key, name)
+        return is_behind and self.is_first(customer)
+
     def since_ms(self, customer):
         """Return since when this host has its part for a customer.
 
--- a/packages/bronzescale-core/tests/test_allowances_model.py
+++ b/packages/bronzescale-core/tests/test_allowances_model.py
@@ -130,6 +130,11 @@
         if number < self.number:
             self.changed_at_ms = now_ms
 
+    def keeps_from(self, number):
+        """Return whether it stays the lessor although a host behind it claims it."""
+        is_first = all(n in self.down for n in range(self.number))
+        return self.number < number and is_first
+
     def establish(self, now_ms):
         """Ask the previous lessor for its bucket; the model does this in no time."""
         standing = self.standing(now_ms)
@@ -141,10 +146,16 @@
         tokens = []
         fresh = [tokens_since_start(self.customer, self.started_at_ms, now_ms)]
         answered = 0
+        is_kept = False
         for number in others:
             host = self.fleet.hosts[number]
             if self.fleet.delivers(self.number, number):
                 host.revive(self.number)
+                if host.keeps_from(self.number):
+                    if self.fleet.delivers(number, self.number):
+                        self.revive(number)
+                        is_kept = True
+                    continue
                 level, was_main = host.lessor.hand_over(
                     "c", all(n in host.down for n in range(self.number)), now_ms
                 )
@@ -155,6 +166,7 @@
                     self.revive(number)
                     answered += 1
         is_certain = answered and bool(tokens) or answered == len(others)
+        is_certain = is_certain and not is_kept
         level = min(tokens or fresh)
         self.lessor.take_over(self.customer, level, is_certain, standing, now_ms)
 
@@ -258,8 +270,7 @@
             return
         live = host.live_others()
         host.share = host.contacts.count(live, self.now_ms) / len(ZONES)
-        node = host.contacts.choose_to_ask(live, self.random.random, self.now_ms)
-        if node is not None:
+        for node in host.contacts.choose_to_ask(live, self.random.random, self.now_ms):
             other = next(h for h in self.hosts if h.node == node)
             self.after(PING_TIMEOUT_MS, self.end_ping, host, other)
 
@@ -500,6 +511,21 @@
         fleet = play(customer, seed, steps, load)
         self.assertLessEqual(fleet.worst_excess(), 0)
 
+    def test_lessor_keeps_its_bucket_from_a_host_that_was_cut_off(self):
+        """Pattern: a host returns from a cut and still takes all others as down."""
+        steps = [
+            (1_200, ("cut_host", 4)),
+            (1_200, ("cut_zone", "a")),
+            (200, ("heal", None)),
+            (900, ("cut_zone", "b")),
+            (1_400, ("restart", 0)),
+            (1_700, ("restart", 2)),
+            (700, ("lose", 0.1)),
+        ]
+        for seed in range(20):
+            fleet = play(LIMITS[0], seed, steps, 2.0)
+            self.assertLessEqual(fleet.worst_excess(), 0, seed)
+
     def test_second_cut_does_not_continue_the_settling_of_the_first(self):
         lessor = Lessor(1)
         first_cut = Standing(True, 0.8, 10_000)
--- a/packages/bronzescale-core/tests/test_lessor_ranks.py
+++ b/packages/bronzescale-core/tests/test_lessor_ranks.py
@@ -48,6 +48,15 @@
         ranks.update(HOSTS, 2_000)
         self.assertEqual(2_000, ranks.since_ms("ada"))
 
+    def test_lessor_keeps_its_bucket_from_hosts_behind_it_only(self):
+        ranks = LessorRanks(RANKED[1].name, 0)
+        ranks.update(without(RANKED[0]), 0)
+        self.assertTrue(ranks.keeps_from("ada", RANKED[2].name))
+        # It may have started a moment ago, and this host has not heard of it.
+        self.assertFalse(ranks.keeps_from("ada", RANKED[0].name))
+        ranks.update(without(RANKED[0], RANKED[1]), 1_000)
+        self.assertFalse(ranks.keeps_from("ada", RANKED[2].name))
+
     def test_removed_customers_are_forgotten(self):
         ranks = LessorRanks(RANKED[0].name, 0)
         ranks.update(HOSTS, 0)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/fleet_view.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/fleet_view.py
@@ -80,8 +80,7 @@
         live = self._live_registered()
         self.share = self._contacts.count(live, now) / self.registered_count()
         if has_buckets:
-            peer = self._contacts.choose_to_ask(live, self._random.random, now)
-            if peer is not None:
+            for peer in self._contacts.choose_to_ask(live, self._random.random, now):
                 self._node.tasks.start_soon(self._ping, peer)
         for name, at_ms in list(self._passed_over_at_ms.items()):
             peer = self._node.membership.find(name)
@@ -119,6 +118,11 @@
         self._update_eligible(now_ms())
         return self._ranks.is_first(name)
 
+    def keeps_from(self, customer, name):
+        """Return whether this host stays the lessor although another one claims it."""
+        self._update_eligible(now_ms())
+        return self._ranks.keeps_from(customer, name)
+
     def _update_eligible(self, now):
         version = self._node.membership.version
         if version == self._membership_version:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lessor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/lessor.py
@@ -4,9 +4,16 @@
 and go, the host that has become first asks the previous one for the bucket.
 """
 
+import math
+
 import anyio
 
-from bronzescale_core.allowances import Ask, Lessor, tokens_since_start
+from bronzescale_core.allowances import (
+    HAND_OVER_MS,
+    Ask,
+    Lessor,
+    tokens_since_start,
+)
 from bronzescale_core.customer_bucket import PERMIT_VALID_MS, WINDOW_MS
 from bronzescale_core.lessor_ranks import rank_previous
 from bronzescale_proxy import wire
@@ -107,14 +114,7 @@
             self.view.record_contact(peer, is_answered=True)
         self.compare_versions(request.node, request.configuration_version)
         if request.is_takeover:
-            ranked = self.view.rank(request.customer)
-            is_successor = bool(ranked) and ranked[0].name == request.node
-            level, was_main = self._lessor.hand_over(
-                request.customer, is_successor, now_ms()
-            )
-            if not was_main:
-                level = self._tokens_since_start(request.customer)
-            return self._reply(level, was_main)
+            return self._answer_takeover(request)
         customer = self._find_customer(request.customer)
         if customer is None or customer.rate_per_s <= 0:
             return self._reply(0, False)
@@ -137,6 +137,23 @@
             period=grant.period,
         )
 
+    def _answer_takeover(self, request):
+        """Hand the bucket over, unless the other host wrongly takes this as down."""
+        name = request.customer
+        if self.view.keeps_from(name, request.node):
+            # A host of an older release reads only the tokens; they keep it from
+            # granting until it has learned of this host.
+            customer = self._find_customer(name)
+            rate_per_s = customer.rate_per_s if customer is not None else 0
+            debt = math.ceil(rate_per_s * HAND_OVER_MS / 1_000)
+            return self._reply(-debt, False, lessor=self._node.settings.node)
+        ranked = self.view.rank(name)
+        is_successor = bool(ranked) and ranked[0].name == request.node
+        level, was_main = self._lessor.hand_over(name, is_successor, now_ms())
+        if not was_main:
+            level = self._tokens_since_start(name)
+        return self._reply(level, was_main)
+
     def _find_customer(self, name):
         configuration = self._node.configuration
         return configuration and configuration.customers.get(name)
@@ -205,7 +222,9 @@
             replies = await self._ask_previous(customer)
             given = [reply for reply in replies if reply is not None]
             tokens = [reply.permits for reply in given if reply.is_lessor]
-            is_certain = bool(tokens) or len(given) == len(replies)
+            # A host that names itself as the lessor keeps the bucket.
+            is_kept = any(reply.lessor for reply in given)
+            is_certain = not is_kept and (bool(tokens) or len(given) == len(replies))
             if not tokens:
                 tokens = [reply.permits for reply in given]
                 tokens.append(self._tokens_since_start(customer.name))
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -166,6 +166,7 @@
             callers = [await member.caller("aged") for _ in range(56)]
             retries_ms = []
             results = []
+            refused_again = []
 
             async def send(caller):
                 answer = await caller.query("READ x")
@@ -174,13 +175,16 @@
                 text = answer.text.rpartition("come back in ")[2]
                 retries_ms.append(int(text.split()[0]))
                 await anyio.sleep(retries_ms[-1] / 1_000)
-                results.append((await caller.query("READ x")).is_done)
+                again = await caller.query("READ x")
+                results.append(again.is_done)
+                if not again.is_done:
+                    refused_again.append((retries_ms[-1], again.text))
 
             async with anyio.create_task_group() as tasks:
                 for caller in callers:
                     tasks.start_soon(send, caller)
             self.assertGreater(len(results), 10)
-            self.assertGreaterEqual(sum(results), 0.9 * len(results))
+            self.assertGreaterEqual(sum(results), 0.9 * len(results), refused_again)
             # As far apart as the rate allows operations.
             self.assertGreater(len(set(retries_ms)), 0.9 * len(retries_ms))
             self.assertLess(max(retries_ms), 1_000)
