--- a/packages/bronzescale-core/src/bronzescale_core/membership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/membership.py
@@ -66,6 +66,11 @@
         """Return this process with its current incarnation."""
         return self._own
 
+    @property
+    def own_status(self):
+        """Return the status that this process announces."""
+        return self._own_status
+
     def leave(self):
         """Announce that this process becomes the owner of no further databases."""
         self._own_status = Status.LEAVING
@@ -105,6 +110,10 @@
         members = (self._members.get(name) for name in self._listed)
         return [Rumor(m.node, m.status) for m in members if m is not None]
 
+    def count_registered_others(self):
+        """Return how many other nodes are on the platform's host list."""
+        return sum(1 for name in self._listed if name in self._members)
+
     def find(self, name):
         """Return a known node.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -398,7 +398,7 @@
 
     def _heartbeat(self, is_introduction=False):
         membership = self._node.membership
-        status = membership.statuses()[0].status
+        status = membership.own_status
         own = membership.own
         rumors = membership.outgoing_rumors()
         if is_introduction and all(rumor.node.name != own.name for rumor in rumors):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/fleet_view.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/fleet_view.py
@@ -106,7 +106,7 @@
 
     def registered_count(self):
         """Return how many hosts are registered, this one included."""
-        return 1 + len(self._node.membership.registered_others())
+        return 1 + self._node.membership.count_registered_others()
 
     def rank(self, name):
         """Return the hosts that may be the lessor of a customer, best first."""
