--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/allowances.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/allowances.py
@@ -197,6 +197,8 @@
             with anyio.move_on_after(max(0, deadline_ms - now) / 1_000):
                 await waiter.is_answered.wait()
                 if waiter.permit is not None:
+                    if waiter.was_refused:
+                        self._node.metrics.count_limited_operation("waited")
                     await _sleep_until(waiter.usable_at_ms)
                     permit, waiter.permit = waiter.permit, None
                     return permit, "", 0
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
@@ -175,7 +175,8 @@
     def count_limited_operation(self, result):
         """Count an operation of a customer with a limit.
 
-        `result` is "permitted", "own_share" or "refused".
+        `result` is "permitted", "own_share", "refused", or "waited" for one that is
+        permitted after it was refused a token.
         """
         self._limited_operations.labels(result).inc()
 
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -7,6 +7,7 @@
 import testtools
 
 from bronzescale_core.customers import Customer
+from bronzescale_core.membership import MISSED_HEARTBEATS_UNTIL_DOWN
 from bronzescale_proxy import wire
 from bronzescale_proxy.exceptions import PeerUnavailableError
 from bronzescale_proxy.fleet import front_end
@@ -57,10 +58,9 @@
 
 
 def take_as_down(member, name):
-    """Let a member hold another one for down; only the other one can refute it."""
-    membership = member.process.node.membership
-    while not membership.record_missed_heartbeat(name):
-        pass
+    """Let a member hold another one for down, unless it does already."""
+    for _ in range(MISSED_HEARTBEATS_UNTIL_DOWN):
+        member.process.node.membership.record_missed_heartbeat(name)
 
 
 def others_than(world, *members):
