--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/allowances.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/allowances.py
@@ -3,9 +3,9 @@
 `Allowances.acquire` is called once for each operation, before it goes to a database. It
 uses a permit in hand or asks the customer's lessor, the first in rank among the hosts;
 `lessor.LessorService` is the part that answers. A host that does not answer is passed
-over; the next one names the lessor if it knows better, or grants a provisional allowance.
-If none answers, this host uses its own share of the limit. Operations whose permit is
-expected in time wait here, the oldest first. The decisions are in
+over; the next one names the lessor if it knows better, or grants a provisional
+allowance. If none answers, this host uses its own share of the limit. Operations whose
+permit is expected in time wait here, the oldest first. The decisions are in
 `bronzescale_core.permits` and `bronzescale_core.allowances`.
 """
 
