--- a/tests/test_fleet_discovery.py
+++ b/tests/test_fleet_discovery.py
@@ -6,6 +6,7 @@
 from bronzescale_core.membership import HEARTBEAT_TIMEOUT_MS
 from bronzescale_core.work import WorkAnswer
 from bronzescale_proxy.fleet.compose import LOAD_BALANCER_NOTICE_MS
+from bronzescale_proxy.fleet.dissemination import WATCHED_KINDS
 from bronzescale_proxy.peers import PeerChannel
 from bronzescale_standins.fleet.database import Group
 from bronzescale_standins.fleet.testing import in_loop
@@ -52,6 +53,33 @@
             caller = await member.caller("own")
             self.assertTrue((await caller.query("READ x")).is_done)
 
+    @in_loop
+    async def test_one_kind_asks_whether_the_store_is_back_and_wakes_the_others(self):
+        """Pattern: the store is away, and every watcher asks again for every kind."""
+        async with running_world() as world:
+            world.platform.faults.is_down = True
+            member = world.members[0]
+            member.kill()
+            await member.ended.wait()
+            member.process = None
+            world.start_member(member)
+            await world.wait_until_ready([member])
+            lists = []
+            list_kind = member.process.node.store.list
+
+            async def count(kind):
+                lists.append(kind)
+                return await list_kind(kind)
+
+            member.process.node.store.list = count
+            await anyio.sleep(2.0)
+            self.assertLessEqual(len(lists), 8, lists)
+            world.platform.faults.is_down = False
+            lists.clear()
+            with anyio.fail_after(1.5):
+                while set(lists) != set(WATCHED_KINDS):
+                    await anyio.sleep(0.02)
+
     @in_loop
     async def test_entries_that_lapsed_during_a_store_outage_are_still_used(self):
         async with running_world() as world:
