--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -246,7 +246,7 @@
             self._apply_lost_upstream(item, known)
             return
         may_differ = is_lost or item.version == known.version
-        if item.kind != CONFIGURATION or not may_differ or item.value is known.value:
+        if item.kind != CONFIGURATION or not may_differ or item.value == known.value:
             return
         if self._is_newer_configuration(item):
             self.objects[(item.kind, item.name)] = known._replace(value=item.value)
