--- a/tests/test_fleet_discovery.py
+++ b/tests/test_fleet_discovery.py
@@ -1,5 +1,7 @@
 """Discovery of configurations, databases and nodes as they come and go."""
 
+from copy import deepcopy
+
 import anyio
 import testtools
 
@@ -7,6 +9,7 @@
 from bronzescale_core.work import WorkAnswer
 from bronzescale_proxy.fleet.compose import LOAD_BALANCER_NOTICE_MS
 from bronzescale_proxy.fleet.dissemination import WATCHED_KINDS
+from bronzescale_proxy.fleet.node import CONFIGURATION, MAIN_NAME
 from bronzescale_proxy.peers import PeerChannel
 from bronzescale_standins.fleet.database import Group
 from bronzescale_standins.fleet.testing import in_loop
@@ -53,16 +56,22 @@
             caller = await member.caller("own")
             self.assertTrue((await caller.query("READ x")).is_done)
 
+    @in_loop
+    async def test_equal_configuration_from_a_peer_is_not_applied_again(self):
+        async with running_world() as world:
+            node = world.members[0].process.node
+            known = node.objects[CONFIGURATION, MAIN_NAME]
+            node.configuration = None
+            node.apply_object(known._replace(value=deepcopy(known.value)))
+            self.assertIsNone(node.configuration)
+
     @in_loop
     async def test_one_kind_asks_whether_the_store_is_back_and_wakes_the_others(self):
         """Pattern: the store is away, and every watcher asks again for every kind."""
         async with running_world() as world:
             world.platform.faults.is_down = True
             member = world.members[0]
-            member.kill()
-            await member.ended.wait()
-            member.process = None
-            world.start_member(member)
+            await world.restart_member(member)
             await world.wait_until_ready([member])
             lists = []
             list_kind = member.process.node.store.list
