--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -89,9 +89,10 @@
                 "db_role": "primary" if database.is_primary else "replica",
             }
             self.write("servers", database.name, entry)
-        elif now_s - self._registered.get(database.name, now_s) > 3 * HEARTBEAT_S:
-            if ("servers", database.name) in self._objects:
-                self._delete("servers", database.name)
+            return
+        silent_s = now_s - self._registered.get(database.name, now_s)
+        if silent_s > 3 * HEARTBEAT_S and ("servers", database.name) in self._objects:
+            self._delete("servers", database.name)
 
     def _store(self, kind, name, spec, finalizers, existing):
         self._revision += 1
