--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""The primary crashes and comes back while a consumer pauses in a transaction."""
+"""A consumer sets a session value between two statements of a transaction."""
 
 import asyncio
 
@@ -6,8 +6,6 @@
 from standins.scenario import CaseError, Deployment, run
 
 ZONES = ["st-hyacinthe", "granby", "rimouski"]
-# The site file lets a primary that crashed stay away for 7 s at most.
-DOWN_S = 0.3
 
 
 def build(record):
@@ -22,58 +20,46 @@
 
 
 async def play(deployment, is_disturbed):
-    """Let two consumers of one machine write in transactions."""
-    machine = deployment.fleet.machines[0]
-    primary = deployment.group.primary()
-    first = Consumer("first", deployment.record)
-    second = Consumer("second", deployment.record)
+    """Run one transaction on each machine."""
     await asyncio.sleep(3.0)
-    for consumer in (first, second):
+    for number, machine in enumerate(deployment.fleet.machines):
+        consumer = Consumer(f"c{number}", deployment.record)
         if not await consumer.connect(machine.front, "load_confirm"):
             raise CaseError("a consumer got no session")
-    await _query(first, "BEGIN")
-    await _query(first, "WRITE truck-1 first")
-    if is_disturbed:
-        primary.crash()
-        deployment.record.add("crash", database=primary.name)
-        await asyncio.sleep(DOWN_S)
-        await primary.start()
-        deployment.record.add("back", database=primary.name)
-        await asyncio.sleep(1.0)
-    await _query(second, "BEGIN")
-    await _query(second, "WRITE truck-2 second")
-    await first.query("COMMIT")
-    await asyncio.sleep(0.3)
-    # The second consumer changes its mind.
-    await second.query("ROLLBACK")
-    await asyncio.sleep(0.3)
+        await _query(consumer, "SET tenant one")
+        if not is_disturbed:
+            await _query(consumer, "SET tenant two")
+        await _query(consumer, "BEGIN")
+        await _query(consumer, f"READ truck-{number}")
+        if is_disturbed:
+            await _query(consumer, "SET tenant two")
+        await _query(consumer, f"WRITE truck-{number} booked")
+        await _query(consumer, "COMMIT")
+        consumer.close()
     return find_breaks(deployment.record)
 
 
 def find_breaks(record):
-    """Return the transactions that mix requests of the two consumers."""
-    senders = {event["id"]: event["consumer"] for event in record.find("sent")}
-    owners = {}
+    """Return the statements that ran with other values than were acknowledged."""
+    consumers = {}
+    acknowledged = {}
+    expected = {}
     breaks = []
     for event in record.events:
-        if event["kind"] not in ("read", "write", "commit"):
-            continue
-        sender = senders.get(event["id"])
-        transaction = event["transaction"]
-        if transaction is None:
-            continue
-        owner = owners.setdefault(transaction, sender)
-        if owner == sender:
-            continue
-        breaks.append(
-            f"PINNED: {event['text']!r} of {sender} ran in transaction {transaction} "
-            f"of {owner}"
-        )
-        if event["kind"] == "commit":
-            breaks.append(
-                f"UNASKED: transaction {transaction} of {owner} was committed with "
-                f"{event['writes']}, and {owner} has not asked for it"
-            )
+        if event["kind"] == "sent":
+            consumers[event["id"]] = event["consumer"]
+            expected[event["id"]] = dict(acknowledged.get(event["consumer"], {}))
+        elif event["kind"] == "answered" and event["text"].startswith("SET "):
+            _, name, value = event["text"].split(" ", 2)
+            if event["code"] == "DONE":
+                acknowledged.setdefault(event["consumer"], {})[name] = value
+        elif event["kind"] in ("read", "write"):
+            values = expected.get(event["id"])
+            if values is not None and values != event["values"]:
+                breaks.append(
+                    f"PINNED: {event['text']!r} of {consumers[event['id']]} ran with "
+                    f"{event['values']}, acknowledged was {values}"
+                )
     return breaks
 
 
