--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -59,6 +60,10 @@
         self._history = []
         self._changed = asyncio.Event()
         self._registered = {}
+        # Share of the answers that are lost; a connection on which one was lost
+        # returns nothing further.
+        self.lost_share = 0.0
+        self._draws = random.Random(1)
 
     @property
     def address(self):
@@ -165,6 +170,10 @@
                 size = int(headers.get("content-length", 0))
                 body = json.loads(await reader.readexactly(size)) if size else None
                 status, document = await self._handle(method, target, headers, body)
+                if self._draws.random() < self.lost_share:
+                    self._record.add("answer_lost", method=method, target=target)
+                    await reader.read()
+                    return
                 payload = _encode(document).encode()
                 writer.write(
                     f"HTTP/1.1 {status} OK\r\nContent-Type: application/json\r\n"
