Number transactions so that no process or owner reuses a number

Cause: each owner counted its transactions from 1, and the caller's host names a transaction by owner, database and number. A process that starts again, and an owner that is replaced inside its process after its database started again under its id, give out the same numbers. Ruled out: the pool (the lost connection was closed and the database had rolled back) and the greeting between hosts (it names the host, which is the same).

Change: the transactions of a process are numbered from one random 62-bit start, for the owners of both products (core module transaction_ids). The caller's host binds a transaction to the incarnation in the greeting of the process that opened it and sends its statements, and its end, to no other process; this covers owners of older releases. Frames are unchanged. Weighed and not taken: comparing the opener (two callers of one host share it; a connection replaced after a missed heartbeat would end transactions), and numbers with an incarnation in them (the time of day may jump back).

Old hosts as callers' hosts profit from the numbers; old owners are covered by the binding.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import secrets
 from contextlib import AsyncExitStack
 
 import anyio
@@ -9,6 +10,7 @@
 
 from bronzescale_core.membership import Membership
 from bronzescale_core.rendezvous import Node
+from bronzescale_core.transaction_ids import TransactionIds
 from bronzescale_proxy import wire
 from bronzescale_proxy.admin import AdminServer
 from bronzescale_proxy.callers import CallerServer
@@ -125,7 +127,13 @@
         peers = PeerClient(tasks, self.metrics.count_frame)
         trace = TraceWriter(self._open_trace(stack), settings.node)
         self.node = NodeRuntime(
-            settings, Membership(own), self.store, peers, self.metrics, trace
+            settings,
+            Membership(own),
+            self.store,
+            peers,
+            self.metrics,
+            trace,
+            TransactionIds(secrets.randbits),
         )
         self.disseminator = Disseminator(self.node)
         self.dispatcher = Dispatcher(self.node, self.metrics)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
@@ -78,6 +78,10 @@
         self.is_sent = is_sent
 
 
+class PeerRestartedError(PeerUnavailableError):
+    """Another process answers for a peer; what the former one held is gone."""
+
+
 class AttemptFailedError(BronzescaleError):
     """One attempt to run a statement failed; the dispatcher decides on a retry.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -1,6 +1,7 @@
 """Build, run and gracefully stop one fleet process."""
 
 import random
+import secrets
 import signal
 from contextlib import AsyncExitStack
 from typing import NamedTuple
@@ -9,6 +10,7 @@
 
 from bronzescale_core.membership import Membership
 from bronzescale_core.rendezvous import Node
+from bronzescale_core.transaction_ids import TransactionIds
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms, wall_ms
 from bronzescale_proxy.fleet.caller_server import CallerServer
@@ -134,6 +136,7 @@
                 self._adapter.documents,
                 self._metrics,
                 self._log,
+                TransactionIds(secrets.randbits),
             )
             source = random.Random(f"{settings.node}:{wall_ms()}")
             self._disseminator = Disseminator(self.node, source)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dispatch.py
@@ -23,7 +23,7 @@
 )
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
-from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_proxy.exceptions import PeerRestartedError, PeerUnavailableError
 from bronzescale_proxy.fleet.owner_watch import OwnerWatch
 
 # Time after a statement's deadline by which its owner has answered. Giving up earlier
@@ -71,7 +71,8 @@
         upstream : str
             Database that answered last.
         owner : Node or None
-            Node that answered last; None for this node.
+            Node that answered last; None for this node. Its incarnation is that of the
+            process that holds a transaction which the statement opened.
         """
         self._budget.deposit()
         backoff_ms = RETRY_BACKOFF_MIN_MS
@@ -116,7 +117,7 @@
                 await local.roll_back(transaction_id)
             return
         message = wire.EndTransaction(upstream, transaction_id)
-        await self._node.peers.send_one_way(owner, message)
+        await self._node.peers.send_one_way(owner, message, owner.incarnation)
 
     def _may_retry(self, work, answer):
         if not may_run_elsewhere(work, answer):
@@ -262,11 +263,20 @@
             answer = await self._run_at_owner(work, opener, owner)
             should_try_next = answer.reach is Reach.NOT_SENT and answer.is_unreachable
             if not should_try_next or now_ms() >= work.deadline_ms:
-                return answer, owner
+                return answer, self._bind_to_process(owner, answer)
         if answer is None:
             answer = WorkAnswer(Outcome.BUSY, Reach.NOT_SENT, "no node can reach it")
         return answer, owner
 
+    def _bind_to_process(self, owner, answer):
+        """Return an owner with the incarnation of the process that answered.
+
+        The membership may not know yet that the owner has started again.
+        """
+        if owner is None or not answer.transaction_id:
+            return owner
+        return owner._replace(incarnation=self._node.peers.incarnation(owner))
+
     def _record_upstream(self, instance, answer):
         """Record the load and the ejection that an owner reports for its database."""
         if answer.service_ms:
@@ -331,6 +341,9 @@
         remaining_ms = work.deadline_ms - sent_at_ms + RELAY_TIMEOUT_MARGIN_MS
         try:
             answer = await self._request_from_owner(work, owner, remaining_ms / 1_000)
+        except PeerRestartedError as error:
+            # The transaction was rolled back when its process ended.
+            return WorkAnswer(Outcome.ABORTED, Reach.NOT_SENT, str(error))
         except PeerUnavailableError as error:
             if not self._node.peers.has_heard_since(owner, sent_at_ms):
                 self._node.mark_suspect(owner)
@@ -348,8 +361,11 @@
         not run at another database.
         """
         may_give_up = not (may_commit(work) or work.is_write)
+        incarnation = owner.incarnation if work.transaction_id else None
         with OwnerWatch(self._node, owner, may_give_up):
-            return await self._node.peers.request(owner, work, timeout_s)
+            return await self._node.peers.request(
+                owner, work, timeout_s, incarnation=incarnation
+            )
         raise PeerUnavailableError(f"{owner.name} went silent", True)
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -72,10 +72,21 @@
         Counters and histograms.
     log : DecisionLog
         Structured log.
+    transaction_ids : TransactionIds
+        Numbers of the transactions that this process holds.
     """
 
     def __init__(
-        self, settings, membership, store, peers, codec, documents, metrics, log
+        self,
+        settings,
+        membership,
+        store,
+        peers,
+        codec,
+        documents,
+        metrics,
+        log,
+        transaction_ids,
     ):
         self.settings = settings
         self.membership = membership
@@ -85,6 +96,7 @@
         self.documents = documents
         self.metrics = metrics
         self.log = log
+        self.transaction_ids = transaction_ids
         # A refuted rumor raises the incarnation in the membership, but not this one.
         self.incarnation = membership.own.incarnation
         self.catalog = Catalog()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -109,7 +109,6 @@
         self._replica_log = ReplicaLog(copy, node)
         self._abandoned = AbandonedReads(self._pool, node)
         self._transactions = {}
-        self._next_number = 1
         self._outcomes = OutcomeTracker()
         self.used_at_ms = now_ms()
 
@@ -436,10 +435,8 @@
         return self._pool.counts()
 
     async def _open_transaction(self, connection, work, floor, opener):
-        transaction = _Transaction(
-            self._next_number, connection, opener, work.is_read_only
-        )
-        self._next_number += 1
+        number = self._node.transaction_ids.allocate()
+        transaction = _Transaction(number, connection, opener, work.is_read_only)
         self._transactions[transaction.number] = transaction
         async with transaction.lock:
             try:
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/node.py
@@ -52,15 +52,20 @@
         Counters and timers.
     trace : callable
         Called with each event of a failover machine and its actions.
+    transaction_ids : TransactionIds
+        Numbers of the transactions that this process holds.
     """
 
-    def __init__(self, settings, membership, store, peers, metrics, trace):
+    def __init__(
+        self, settings, membership, store, peers, metrics, trace, transaction_ids
+    ):
         self.settings = settings
         self.membership = membership
         self.store = store
         self.peers = peers
         self.metrics = metrics
         self.trace = trace
+        self._transaction_ids = transaction_ids
         self.objects = ObjectCache()
         self.declaration = None
         self.declaration_problem = ""
@@ -317,7 +322,9 @@
         if upstream is None:
             return None
         group = self._get_or_create_group(declared)
-        owner = DatabaseOwner(upstream, group, self.settings, self.metrics)
+        owner = DatabaseOwner(
+            upstream, group, self.settings, self.metrics, self._transaction_ids
+        )
         self._owners[upstream_name] = owner
         self._update_group_ownership(declared)
         return owner
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -78,9 +78,11 @@
         Settings of this node.
     metrics : Metrics
         Counters and timers.
+    transaction_ids : TransactionIds
+        Numbers of the transactions that this process holds.
     """
 
-    def __init__(self, upstream, group, settings, metrics):
+    def __init__(self, upstream, group, settings, metrics, transaction_ids):
         self.upstream = upstream
         self._group = group
         self._settings = settings
@@ -93,7 +95,7 @@
         self._queue = AdmissionQueue(upstream.slots, group.service.max_queued)
         self._admission_waits = {}
         self._transactions = {}
-        self._next_transaction_id = 1
+        self._transaction_ids = transaction_ids
         self.used_at_ms = 0
 
     @property
@@ -373,8 +375,7 @@
             connection.close()
             self._pool.release(connection)
             raise
-        transaction_id = self._next_transaction_id
-        self._next_transaction_id += 1
+        transaction_id = self._transaction_ids.allocate()
         transaction = Transaction(
             transaction_id, connection, not self._is_primary(), opener
         )
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -11,7 +11,7 @@
 
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
-from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_proxy.exceptions import PeerRestartedError, PeerUnavailableError
 from bronzescale_proxy.fleet.streams import (
     PEER_KEEPALIVE_S,
     connect_stream,
@@ -263,13 +263,15 @@
         self._connections = {}
         self._locks = {}
 
-    async def connect(self, node):
+    async def connect(self, node, incarnation=None):
         """Return an open connection to a node.
 
         Parameters
         ----------
         node : Node
             The other proxy.
+        incarnation : int or None
+            Incarnation of the process that must answer; None for any.
 
         Returns
         -------
@@ -277,20 +279,42 @@
 
         Raises
         ------
+        PeerRestartedError
+            If another process of the node answers.
         PeerUnavailableError
             If the node cannot be reached.
         """
         connection = self._connections.get(node.address)
-        if connection is not None and connection.is_open:
-            return connection
-        lock = self._locks.setdefault(node.address, anyio.Lock())
-        async with lock:
+        if connection is None or not connection.is_open:
+            connection = await self._reconnect(node)
+        if incarnation not in (None, connection.incarnation):
+            raise PeerRestartedError(f"{node.name} has started again", False)
+        return connection
+
+    async def _reconnect(self, node):
+        async with self._locks.setdefault(node.address, anyio.Lock()):
             connection = self._connections.get(node.address)
             if connection is None or not connection.is_open:
                 connection = await self._open(node)
                 self._connections[node.address] = connection
         return connection
 
+    def incarnation(self, node):
+        """Return the incarnation of the process that answers for a node.
+
+        Parameters
+        ----------
+        node : Node
+            The other proxy.
+
+        Returns
+        -------
+        int or None
+            None if no connection to it was opened yet.
+        """
+        connection = self._connections.get(node.address)
+        return None if connection is None else connection.incarnation
+
     def discard(self, node):
         """Stop using the connection to a node; the next request opens a new one.
 
@@ -326,7 +350,7 @@
             return False
         return connection.received_at_ms >= since_ms
 
-    async def request(self, node, message, timeout_s):
+    async def request(self, node, message, timeout_s, incarnation=None):
         """Send a request and return its single answer.
 
         Parameters
@@ -337,6 +361,8 @@
             The request.
         timeout_s : float
             Time limit for connecting, sending and receiving the answer.
+        incarnation : int or None
+            Incarnation of the process that must answer; None for any.
 
         Returns
         -------
@@ -344,12 +370,14 @@
 
         Raises
         ------
+        PeerRestartedError
+            If another process of the node answers.
         PeerUnavailableError
             If the node did not answer in time.
         """
         try:
             with anyio.fail_after(timeout_s):
-                connection = await self.connect(node)
+                connection = await self.connect(node, incarnation)
                 async with connection.request(message) as exchange:
                     answer = await exchange.receive()
                     exchange.finish()
@@ -359,7 +387,7 @@
                 f"{node.name} did not answer in time", True
             ) from error
 
-    async def send_one_way(self, node, message):
+    async def send_one_way(self, node, message, incarnation=None):
         """Send a message that has no answer; it may be lost, which must do no harm.
 
         Parameters
@@ -368,10 +396,12 @@
             The other proxy.
         message : NamedTuple
             The message.
+        incarnation : int or None
+            Incarnation of the process that the message is for; None for any.
         """
         try:
             with anyio.move_on_after(CONNECT_TIMEOUT_S):
-                connection = await self.connect(node)
+                connection = await self.connect(node, incarnation)
                 async with connection.request(message) as exchange:
                     exchange.finish()
         except PeerUnavailableError:
--- a/packages/bronzescale-proxy/tests/test_sessions.py
+++ b/packages/bronzescale-proxy/tests/test_sessions.py
@@ -206,6 +206,33 @@
     run_with_fleet(test)
 
 
+# Numbers of transactions that began anew with each owner let a session commit the
+# transaction of another one.
+def test_commit_after_a_replaced_owner_does_not_reach_another_transaction():
+    async def test(fleet):
+        first = await fleet.connect("p-a")
+        await make_replicated_table(fleet, first)
+        owner = next(
+            owner
+            for owner in fleet.proxies["p-a"].node.owners()
+            if owner.upstream.name == fleet.primary_of().settings.name
+        )
+        await run_query(first, "BEGIN")
+        await run_query(first, "INSERT INTO t VALUES (1, 'first')")
+        # The owner is closed and made again, as when a database moves away and back.
+        owner.close()
+        del fleet.proxies["p-a"].node._owners[owner.upstream.name]
+        second = await fleet.connect("p-a")
+        await run_query(second, "BEGIN")
+        await run_query(second, "INSERT INTO t VALUES (2, 'second')")
+        await expect_error(first, "COMMIT")
+        await run_query(second, "ROLLBACK")
+        third = await fleet.connect("p-a")
+        assert await run_query(third, "SELECT id FROM t") == ()
+
+    run_with_fleet(test)
+
+
 def test_autocommit_off_opens_transactions():
     async def test(fleet):
         connection = await fleet.connect("p-a")
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -119,10 +119,10 @@
     requests = {m: m.process.node.peers.request for m in world.members}
 
     def limit(sender, request):
-        async def request_within_part(peer, message, timeout_s):
+        async def request_within_part(peer, message, timeout_s, **options):
             is_inside = sender is not member and peer.name != member.name
             if is_inside or peer.name == sender.name:
-                return await request(peer, message, timeout_s)
+                return await request(peer, message, timeout_s, **options)
             await anyio.sleep(timeout_s)
             raise PeerUnavailableError(f"{peer.name} did not answer in time", True)
 
@@ -293,13 +293,13 @@
             request = peers.request
             lost = []
 
-            async def lose_replies(peer, message, timeout_s):
+            async def lose_replies(peer, message, timeout_s, **options):
                 if isinstance(message, wire.PermitRequest) and peer.name == lessor.name:
-                    await request(peer, message, timeout_s)
+                    await request(peer, message, timeout_s, **options)
                     lost.append(message)
                     await anyio.sleep(timeout_s)
                     raise PeerUnavailableError("no answer in time", True)
-                return await request(peer, message, timeout_s)
+                return await request(peer, message, timeout_s, **options)
 
             caller = await member.caller("aged")
             first = await caller.query("READ x")
--- a/tests/test_fleet_serving.py
+++ b/tests/test_fleet_serving.py
@@ -315,9 +315,9 @@
 def _drop_answers(request, names):
     """Return `request` without the answers of some nodes, as in a partition."""
 
-    async def request_or_time_out(peer, message, timeout_s):
+    async def request_or_time_out(peer, message, timeout_s, **options):
         if peer.name not in names:
-            return await request(peer, message, timeout_s)
+            return await request(peer, message, timeout_s, **options)
         await anyio.sleep(timeout_s)
         raise PeerUnavailableError(f"{peer.name} did not answer in time", True)
 
--- /dev/null
+++ b/tests/test_fleet_transactions.py
@@ -0,0 +1,120 @@
+"""Open transactions while the process or the database that holds them starts again."""
+
+import testtools
+
+from bronzescale_core.transaction_ids import START_BITS, TransactionIds
+from bronzescale_standins.fleet.testing import in_loop, primary_of
+from bronzescale_standins.fleet.world import running_world
+
+
+def split_members(world):
+    """Return the member that owns the primary's connections, and another one."""
+    instance = primary_of(world).instance
+    is_owner = {
+        member: member.process.node.is_preferred_owner(instance)
+        for member in world.members
+    }
+    return max(world.members, key=is_owner.get), min(world.members, key=is_owner.get)
+
+
+async def open_transaction(member, item):
+    """Return a caller that has written an item in an open transaction."""
+    caller = await member.caller("lead")
+    for text in ("BEGIN", f"WRITE {item} kept"):
+        answer = await caller.query(text)
+        if not answer.is_done:
+            raise AssertionError(f"{text} was answered with {answer}")
+    return caller
+
+
+async def restart_owner(world, owner):
+    """Kill the process that holds the transaction and start it again."""
+    await world.restart_member(owner)
+    instance = primary_of(world).instance
+    await world.wait_until(lambda: owner.process.node.is_preferred_owner(instance))
+
+
+async def restart_older_owner(world, owner):
+    """Restart the owner with a release that numbers from 1 in each process."""
+    await restart_owner(world, owner)
+    number_from_one(owner)
+
+
+def number_from_one(member):
+    member.process.node.transaction_ids = TransactionIds(lambda bits: 0)
+
+
+async def restart_primary(world, owner):
+    """Let the primary crash and start again under its id, with its log."""
+    primary = primary_of(world)
+    incarnation = primary.started_at_ms
+    primary.stop()
+    await world.wait_until(lambda: not primary.is_listening)
+    primary.started_at_ms = incarnation + 1_000
+    await world.start_database(primary)
+    catalog = owner.process.node.catalog
+    await world.wait_until(
+        lambda: (
+            catalog.find(primary.instance)
+            and catalog.find(primary.instance).incarnation > incarnation
+        )
+    )
+
+
+class LostTransactionTest(testtools.TestCase):
+    """A transaction that was lost with its holder, and a newer one in its place.
+
+    Numbers of transactions that began anew in each process let a caller's statements
+    run in the transaction of another caller (review case 1).
+    """
+
+    async def check_not_mixed(self, world, restart, end):
+        """Lose a transaction, end it by a statement and commit a newer one."""
+        owner, other = split_members(world)
+        first = await open_transaction(other, "first")
+        await restart(world, owner)
+        second = await open_transaction(owner, "second")
+        answer = await first.query(end)
+        if end == "COMMIT":
+            self.assertEqual("ABORTED", answer.code)
+        committed = await second.query("COMMIT")
+        self.assertEqual("DONE", committed.code, committed)
+        commits = [
+            (event.request_id, event.detail.writes)
+            for event in world.group.history
+            if event.kind == "commit"
+        ]
+        self.assertEqual([(committed.request_id, (("second", "kept"),))], commits)
+
+    @in_loop
+    async def test_commit_after_a_restart_of_the_owner_does_not_reach_another(self):
+        async with running_world() as world:
+            await self.check_not_mixed(world, restart_owner, "COMMIT")
+
+    @in_loop
+    async def test_rollback_after_a_restart_of_the_owner_does_not_end_another(self):
+        async with running_world() as world:
+            await self.check_not_mixed(world, restart_owner, "ROLLBACK")
+
+    @in_loop
+    async def test_commit_after_a_restart_of_the_primary_does_not_reach_another(self):
+        async with running_world() as world:
+            await self.check_not_mixed(world, restart_primary, "COMMIT")
+
+    @in_loop
+    async def test_commit_after_a_restart_of_an_older_owner_does_not_reach_another(
+        self,
+    ):
+        async with running_world() as world:
+            for member in world.members:
+                number_from_one(member)
+            await self.check_not_mixed(world, restart_older_owner, "COMMIT")
+
+    def test_numbers_of_two_processes_differ_and_fit_the_wire(self):
+        ranges = []
+        for first in (0, 2**START_BITS - 1):
+            ids = TransactionIds(lambda bits, first=first: first)
+            ranges.append([ids.allocate() for _ in range(1_000)])
+        numbers = [number for numbers in ranges for number in numbers]
+        self.assertEqual(len(numbers), len(set(numbers)))
+        self.assertTrue(all(0 < number < 2**63 for number in numbers))
