Check when refused callers come back, not how long they wait

A trace of six runs on: refusals come at 14, 65 and 213 ms, and the times at which callers may come back are 25 ms apart throughout (762.7, 787.7, ... 912.7, 937.5, 962.6 ms), as the rate of 40 allows. The waits counted from each refusal can be equal by chance (898 ms from 14 ms and from 64.6 ms). The check compared the waits, so it failed on allowed runs.

Replaced by a stricter one: the times themselves, as the wallet computes them, are at least 1,000 / rate ms apart, less 2 ms for rounding, for over 0.9 of the gaps; being distinct was enough before.

--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -2,12 +2,14 @@
 
 import time
 from contextlib import asynccontextmanager
+from itertools import pairwise
 
 import anyio
 import testtools
 
 from bronzescale_core.customers import Customer
 from bronzescale_core.membership import MISSED_HEARTBEATS_UNTIL_DOWN
+from bronzescale_core.permits import Wallet
 from bronzescale_proxy import wire
 from bronzescale_proxy.exceptions import PeerUnavailableError
 from bronzescale_proxy.fleet import front_end
@@ -167,6 +169,13 @@
             retries_ms = []
             results = []
             refused_again = []
+            returns_at_ms = []
+            find_retry = Wallet.retry_after_ms
+
+            def record_return(wallet, waiting, at_ms):
+                retry_after_ms = find_retry(wallet, waiting, at_ms)
+                returns_at_ms.append(at_ms + retry_after_ms)
+                return retry_after_ms
 
             async def send(caller):
                 answer = await caller.query("READ x")
@@ -180,13 +189,18 @@
                 if not again.is_done:
                     refused_again.append((retries_ms[-1], again.text))
 
+            self.patch(Wallet, "retry_after_ms", record_return)
             async with anyio.create_task_group() as tasks:
                 for caller in callers:
                     tasks.start_soon(send, caller)
             self.assertGreater(len(results), 10)
             self.assertGreaterEqual(sum(results), 0.9 * len(results), refused_again)
-            # As far apart as the rate allows operations.
-            self.assertGreater(len(set(retries_ms)), 0.9 * len(retries_ms))
+            # As far apart as the rate allows operations, but for rounding. The times
+            # until then may be equal, since refusals come at different times.
+            first_round_ms = sorted(returns_at_ms[: len(retries_ms)])
+            gaps_ms = [b - a for a, b in pairwise(first_round_ms)]
+            spaced = sum(gap_ms > 1_000 / LIMIT.rate_per_s - 2 for gap_ms in gaps_ms)
+            self.assertGreater(spaced, 0.9 * len(gaps_ms), gaps_ms)
             self.assertLess(max(retries_ms), 1_000)
 
     @in_loop
