Pass no statement on from half of a stop's grace period

Cause: at half of the grace period the process closed the sessions that waited for a statement at that instant; a transaction whose statement ran was never looked at again. New sessions, statements of peers and statements that waited for a primary were served or kept to the end. Ruled out: the time of the kill, and the closing of idle sessions.

Change: from half of the grace period on statements are refused: ABORTED in a transaction, BUSY outside of one and for new sessions; a running statement is answered first. Sessions stay open for 0.2 s for a statement that was on its way. Peers' statements are refused and the transactions held for them rolled back. Statements accepted during a stop must end 0.7 s before the kill.

Open: a statement accepted before SIGTERM whose time limit reaches beyond the grace period can still be cut off by the kill.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/caller_server.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/caller_server.py
@@ -1,5 +1,7 @@
 """Accept callers and keep their connections."""
 
+import math
+
 import anyio
 
 from bronzescale_proxy.fleet.front_end import CallerConnection
@@ -28,6 +30,9 @@
         self.dispatcher = dispatcher
         self._connections = set()
         self._is_closing_idle = False
+        self._is_refusing = False
+        # When statements of a stopping process must have ended.
+        self.answer_by_ms = math.inf
         self._configuration = None
         self._names_routes = False
         node.configuration_listeners.append(self._apply_configuration)
@@ -80,7 +85,16 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def abort_transactions(self):
-        """Close the sessions that wait for a statement inside a transaction."""
+    @property
+    def is_refusing(self):
+        """Return whether statements are refused instead of passed on."""
+        return self._is_refusing
+
+    def refuse_statements(self):
+        """Refuse sessions and statements from now on, and roll back transactions.
+
+        A statement that runs is answered first. Sessions that stay silent end soon.
+        """
+        self._is_refusing = True
         for connection in list(self._connections):
-            connection.close_if_waiting()
+            connection.end_soon()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -1,5 +1,6 @@
 """Build, run and gracefully stop one fleet process."""
 
+import math
 import random
 import secrets
 import signal
@@ -28,8 +29,9 @@
 # The load balancer stops sending callers after two failed readiness checks, which are
 # 1 s apart. Sessions that close earlier would be opened again at this node.
 LOAD_BALANCER_NOTICE_MS = 2_300
-# Share of the grace period that open transactions may use to end.
-TRANSACTION_GRACE_SHARE = 0.5
+# Share of the grace period during which statements are passed on, so that open
+# transactions can end. The rest is left for the answers.
+SERVING_GRACE_SHARE = 0.5
 # End of the grace period, left for sending the last answers before the process is
 # killed.
 KILL_MARGIN_MS = 700
@@ -181,9 +183,10 @@
                 tasks.start_soon(self._handle_signals)
             self._log.log_state_change("started", zone=settings.zone)
             await self._stop_requested.wait()
-            await self._stop()
+            await self._stop(peer_server, service)
             with anyio.move_on_after(KILL_MARGIN_MS / 2_000):
                 await peer_server.drain(service.find_refusal)
+                await self._drain_until(math.inf)
             tasks.cancel_scope.cancel()
         self._log.log_state_change("stopped")
         self._log.flush()
@@ -253,14 +256,18 @@
         is_unchanged = settings == self._settings
         self._log.log_state_change("settings_reloaded", is_changed=not is_unchanged)
 
-    async def _stop(self):
+    async def _stop(self, peer_server, service):
         """Drain the process: fail readiness checks, give up ownership, close sessions.
 
-        Idle sessions close once the load balancer sends no more callers. Open
-        transactions get a share of the grace period; those still open are rolled back.
+        Idle sessions close once the load balancer sends no more callers. Statements are
+        passed on for a share of the grace period. Then open transactions are rolled
+        back, and statements of callers and peers are refused, so that none runs when
+        the process ends.
         """
         started_ms = now_ms()
         grace_ms = self._settings.stop_grace_ms
+        answer_by_ms = started_ms + grace_ms - KILL_MARGIN_MS
+        self._callers.answer_by_ms = answer_by_ms
         self.node.is_stopping = True
         self._log.log_state_change("stopping", callers=self._callers.open_count)
         with anyio.move_on_after(ANNOUNCE_TIMEOUT_S):
@@ -269,17 +276,26 @@
             await self._disseminator.unregister()
         await _sleep_until(started_ms + LOAD_BALANCER_NOTICE_MS)
         self._callers.close_idle_sessions()
-        await self._drain_until(started_ms + int(grace_ms * TRANSACTION_GRACE_SHARE))
-        self._callers.abort_transactions()
-        await self._drain_until(started_ms + grace_ms - KILL_MARGIN_MS)
+        await self._drain_until(started_ms + int(grace_ms * SERVING_GRACE_SHARE))
+        self._log.log_state_change("refusing", callers=self._callers.open_count)
+        self._callers.refuse_statements()
+        peer_server.refuse(service.find_refusal)
+        await self._drain_until(answer_by_ms, self._roll_back_unused)
 
-    async def _drain_until(self, deadline_ms):
+    async def _drain_until(self, deadline_ms, do_at_each_poll=lambda: None):
         while now_ms() < deadline_ms:
+            do_at_each_poll()
             is_idle = all(owner.is_idle for owner in self.node.owners())
             if is_idle and not self._callers.open_count:
                 return
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
 
+    def _roll_back_unused(self):
+        """Roll back the transactions that this process holds, also for other nodes."""
+        for owner in self.node.owners():
+            for number in owner.unused_transactions():
+                self.node.tasks.start_soon(owner.roll_back, number)
+
 
 async def _sleep_until(deadline_ms):
     await anyio.sleep(max(0, deadline_ms - now_ms()) / 1_000)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/front_end.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/front_end.py
@@ -43,6 +43,10 @@
 # A caller gives up 2 s after an unanswered first message, so a node that has no
 # configuration yet refuses the caller earlier.
 CONFIGURATION_TIMEOUT_S = 1.5
+# How long a session of a stopping process waits for a statement that was sent before
+# the caller could see the end of the session.
+LAST_STATEMENT_WAIT_S = 0.2
+_STOPPING = "this host is stopping; connect again to reach another"
 _UNKNOWN_KEY = "no customer holds this key; ask the operator for one"
 _WITHDRAWN_KEY = "the key of this session was withdrawn; connect with another one"
 _MOVED_KEY = "the key of this session belongs to another customer now; begin again"
@@ -96,7 +100,7 @@
             if isinstance(message, Malformed):
                 await self._send_malformed(message.reason)
                 continue
-            if await self._identify(message):
+            if await self._identify(message) and await self._admit(message):
                 await self._handle_statement(message)
             if self._is_refused or (self._is_review_due and self._review()):
                 return
@@ -115,6 +119,9 @@
             await self._stream.send(self._codec.encode_failed(Outcome.MALFORMED, text))
             return False
         await self._await_configuration()
+        if self._server.is_refusing:
+            await self._stream.send(self._codec.encode_failed(Outcome.BUSY, _STOPPING))
+            return False
         configuration = self._node.configuration
         if configuration is None:
             text = "no configuration is known yet; come back in 1000 ms"
@@ -161,7 +168,10 @@
         """Return the next message, or None if the session must end."""
         transaction = self._session.transaction
         deadline_s = None
-        if transaction is not None:
+        if self._server.is_refusing:
+            self._release_transaction()
+            deadline_s = LAST_STATEMENT_WAIT_S
+        elif transaction is not None:
             deadline_s = self._node.configuration.transaction_idle_ms / 1_000
         with anyio.CancelScope() as self._receive_scope:
             if deadline_s is not None:
@@ -175,13 +185,44 @@
             return self._codec.decode_caller(line)
         self._receive_scope = None
         if transaction is not None:
+            reason = "transaction was idle for too long"
+            if self._server.is_refusing:
+                reason = _STOPPING
             self._node.log.log_decision(
-                "session_closed",
-                database=self._database,
-                reason="transaction was idle for too long",
+                "session_closed", database=self._database, reason=reason
             )
         return None
 
+    # Stop
+
+    async def _admit(self, statement):
+        """Answer a statement that a stopping process does not pass on.
+
+        Returns
+        -------
+        bool
+            Whether the statement may run.
+        """
+        transaction = self._session.transaction
+        if not self._server.is_refusing:
+            return True
+        if transaction is None:
+            await self._send_failed(Outcome.BUSY, _STOPPING, statement.request_id)
+            return False
+        if transaction.is_failed or statement.action is Action.ROLLBACK:
+            return True
+        await self._abort_transaction(statement, _STOPPING)
+        return False
+
+    def end_soon(self):
+        """End the session unless a statement arrives soon; that one is refused.
+
+        A session whose statement runs ends in the same way after its answer.
+        """
+        if self._receive_scope is not None:
+            self._release_transaction()
+            self._receive_scope.deadline = anyio.current_time() + LAST_STATEMENT_WAIT_S
+
     # Identity
 
     def _access(self):
@@ -210,11 +251,7 @@
         is_ended |= statement.action is Action.ROLLBACK
         if access is Access.ALLOWED or is_ended:
             return True
-        if statement.action is Action.COMMIT:
-            await self.roll_back_open()
-            await self._send_failed(Outcome.ABORTED, _MOVED_KEY, request_id)
-        else:
-            await self._fail_statement(Outcome.ABORTED, _MOVED_KEY, request_id)
+        await self._abort_transaction(statement, _MOVED_KEY)
         return False
 
     def apply_configuration(self):
@@ -240,17 +277,8 @@
             self._log_unauthorized(self._database)
             # A statement that was begun to be sent is answered.
             return not self._reader.has_partial_line
-        # The next statement is told; the database need not wait for it.
         transaction.customer = None
-        if transaction.is_bound:
-            number = transaction.transaction_id
-            transaction.transaction_id = NO_TRANSACTION
-            self._node.tasks.start_soon(
-                self._dispatcher.end_transaction,
-                transaction.upstream,
-                number,
-                transaction.owner,
-            )
+        self._release_transaction()
         return False
 
     def close_if_idle(self):
@@ -263,6 +291,31 @@
         if self._receive_scope is not None:
             self._receive_scope.cancel()
 
+    # Transactions
+
+    def _release_transaction(self):
+        """Roll back an open transaction at its database; the next statement is told."""
+        transaction = self._session.transaction
+        if transaction is None or not transaction.is_bound:
+            return
+        number = transaction.transaction_id
+        transaction.transaction_id = NO_TRANSACTION
+        self._node.tasks.start_soon(
+            self._dispatcher.end_transaction,
+            transaction.upstream,
+            number,
+            transaction.owner,
+        )
+
+    async def _abort_transaction(self, statement, reason):
+        """Roll back the open transaction and refuse its statement."""
+        request_id = statement.request_id
+        if statement.action is Action.COMMIT:
+            await self.roll_back_open()
+            await self._send_failed(Outcome.ABORTED, reason, request_id)
+        else:
+            await self._fail_statement(Outcome.ABORTED, reason, request_id)
+
     async def roll_back_open(self):
         """Roll back the open transaction, if any."""
         transaction, self._session.transaction = self._session.transaction, None
@@ -437,7 +490,9 @@
             max_age_ms=self._max_age_ms(route),
             needs_lead=is_write or is_read_write or route.kind is RouteKind.PRIMARY,
             priority=route.priority,
-            deadline_ms=arrived_at_ms + route.timeout_ms,
+            deadline_ms=min(
+                arrived_at_ms + route.timeout_ms, self._server.answer_by_ms
+            ),
             received_at_ms=arrived_at_ms,
             customer=self._customer,
             route=self._database if self._server.names_routes else "",
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -275,6 +275,10 @@
             if t.used_at_ms < limit_ms and not t.lock.locked()
         ]
 
+    def unused_transactions(self):
+        """Return the numbers of transactions of which no statement is running."""
+        return [t.number for t in self._transactions.values() if not t.lock.locked()]
+
     # Admission
 
     async def _run_admitted(self, work, opener):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/serving.py
@@ -24,11 +24,14 @@
     def find_refusal(self, message):
         """Return the answer that refuses a message while this node stops, or None.
 
-        A statement that needs no transaction of this node runs at another one.
+        A statement outside of a transaction runs at another node; the transactions of
+        this node are rolled back.
         """
-        if not isinstance(message, Work) or message.transaction_id:
+        if not isinstance(message, Work):
             return None
         text = f"{self._node.settings.node} is stopping"
+        if message.transaction_id:
+            return WorkAnswer(Outcome.ABORTED, Reach.NOT_SENT, text)
         return WorkAnswer(Outcome.BUSY, Reach.NOT_SENT, text, is_unreachable=True)
 
     async def __call__(self, message, channel):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -471,6 +471,16 @@
         """Return how many requests have no complete answer yet."""
         return sum(connection.in_flight for connection in self._connections)
 
+    def refuse(self, find_refusal):
+        """Refuse some messages from now on.
+
+        Parameters
+        ----------
+        find_refusal : callable
+            Return the answer that refuses a message, or None to handle the message.
+        """
+        self._find_refusal = find_refusal
+
     async def drain(self, find_refusal):
         """Refuse new statements and wait until every accepted one is answered.
 
@@ -479,7 +489,7 @@
         find_refusal : callable
             Return the answer that refuses a message, or None to handle the message.
         """
-        self._find_refusal = find_refusal
+        self.refuse(find_refusal)
         idle_looks = 0
         while idle_looks < 2:
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -309,7 +309,7 @@
 
 
 @asynccontextmanager
-async def running_world(nodes=3, customers=None, **database_options):
+async def running_world(nodes=3, customers=None, routes=ROUTES, **database_options):
     """Yield a world whose nodes are ready."""
     world = World(nodes, customers, **database_options)
     async with anyio.create_task_group() as tasks:
@@ -318,7 +318,7 @@
         for database in world.group.databases.values():
             await tasks.start(run_with_status, database)
             world.register(database)
-        world.configure()
+        world.configure(routes)
         tasks.start_soon(world._send_heartbeats)
         for member in world.members:
             world.start_member(member)
