Bring a transaction's connection up to date before each of its statements

Cause: the owner compared a connection's session state with the statement's only when it took the connection from the pool, and inside a transaction only before a prepared statement. Ruled out: the caller's host (the frame held the new value) and the pool.

Change: values and prepared statement are compared before each statement of an open transaction, COMMIT included; only differences are sent. Weighed: passing the SET on when it is sent, which costs a call for each value and can fail a SET.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -66,6 +66,7 @@
 _HEAD_UNKNOWN = WorkAnswer(
     Outcome.BEHIND, Reach.NOT_SENT, "no recent head of the primary is known"
 )
+_STEPS_IN_TRANSACTION = frozenset((WorkStep.CONTINUE, WorkStep.COMMIT))
 # Outcomes that a healthy database does not return while the owner limits its load.
 _FAULT_OUTCOMES = frozenset((Outcome.FAILED, Outcome.TIMEOUT, Outcome.BUSY))
 
@@ -159,7 +160,7 @@
         """
         self.used_at_ms = now_ms()
         self._slots.apply(self._node.configuration)
-        if work.step in (WorkStep.CONTINUE, WorkStep.COMMIT) and work.transaction_id:
+        if work.step in _STEPS_IN_TRANSACTION and work.transaction_id:
             answer = await self._run_in_transaction(work)
         else:
             answer = await self._run_admitted(work, opener)
@@ -482,7 +483,8 @@
         text = work.text
         if not work.is_write and work.step is WorkStep.SINGLE:
             text = self._codec.read_at_position(floor, text)
-        if work.prepared is not None and work.step is WorkStep.CONTINUE:
+        if work.step in _STEPS_IN_TRANSACTION:
+            # The session may have changed since the transaction got its connection.
             try:
                 await connection.apply_session_state(
                     work.values, work.prepared_name, work.prepared
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/database_session.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/database_session.py
@@ -128,6 +128,7 @@
     async def _on_set(self, request_id, arguments):
         name, _, value = arguments.partition(" ")
         self._values[name] = value
+        self._record("set", request_id, (name, value))
         return ["DONE -"]
 
     async def _on_reset(self, request_id, arguments):
--- a/tests/test_fleet_transactions.py
+++ b/tests/test_fleet_transactions.py
@@ -3,6 +3,7 @@
 import testtools
 
 from bronzescale_core.transaction_ids import START_BITS, TransactionIds
+from bronzescale_standins.fleet.database_session import DatabaseSession
 from bronzescale_standins.fleet.testing import in_loop, primary_of
 from bronzescale_standins.fleet.world import running_world
 
@@ -118,3 +119,68 @@
         numbers = [number for numbers in ranges for number in numbers]
         self.assertEqual(len(numbers), len(set(numbers)))
         self.assertTrue(all(0 < number < 2**63 for number in numbers))
+
+
+class SessionValuesTest(testtools.TestCase):
+    """A value that is set inside a transaction.
+
+    It was acknowledged and reached only prepared statements of that transaction (review
+    case 5).
+    """
+
+    async def run_transaction(self, member, *texts):
+        """Run a transaction whose session value changes; return its answers."""
+        caller = await member.caller("lead")
+        answers = []
+        begin = ("SET tenant one", "PREPARE s WRITE q1", "BEGIN", "READ x")
+        for text in (*begin, "SET tenant two", *texts):
+            answers.append(await caller.query(text))
+            self.assertEqual("DONE", answers[-1].code, (text, answers[-1]))
+        return answers[-len(texts) :]
+
+    def values_at(self, world, answer):
+        """Return the session values with which a database ran a statement."""
+        return next(
+            event.detail[2][0]
+            for event in world.group.history
+            if event.request_id == answer.request_id
+        )
+
+    @in_loop
+    async def test_value_set_in_a_transaction_reaches_each_further_statement(self):
+        texts = ("READ x", "WRITE x 1", "EXECUTE s x 2", "READ x")
+        async with running_world() as world:
+            for member in split_members(world):
+                for answer in await self.run_transaction(member, *texts):
+                    self.assertEqual({"tenant": "two"}, self.values_at(world, answer))
+
+    @in_loop
+    async def test_value_set_in_a_transaction_reaches_its_commit(self):
+        async with running_world() as world:
+            for member in split_members(world):
+                (answer,) = await self.run_transaction(member, "COMMIT")
+                events = world.group.history
+                committed = [e.request_id for e in events].index(answer.request_id)
+                values = [
+                    event.detail
+                    for event in events[:committed]
+                    if event.kind == "set"
+                    and event.connection == events[committed].connection
+                ]
+                self.assertEqual(("tenant", "two"), values[-1])
+
+    @in_loop
+    async def test_value_that_the_database_does_not_take_aborts_the_transaction(self):
+        async with running_world() as world:
+            caller = await world.members[0].caller("lead")
+            for text in ("SET tenant one", "BEGIN", "WRITE x 1", "SET tenant two"):
+                await caller.query(text)
+            self.patch(DatabaseSession, "_on_set", refuse_value)
+            answer = await caller.query("WRITE x 2")
+            self.assertEqual(("ABORTED", "E"), (answer.code, answer.state))
+            await caller.query("ROLLBACK")
+            self.assertEqual([], primary_of(world).log)
+
+
+async def refuse_value(session, request_id, arguments):
+    return ["ERROR FAILED no"]
