Limit the time for session state inside a transaction

Cause: the owner waited for what it sends itself without a time limit there; outside of a transaction, and for BEGIN and ROLLBACK, it has one. The other waits for a database were read through: opening, draining and control connections are limited.

Change: the statement's own time limit bounds it; the statement was not sent then, so the caller is told ABORTED and the transaction is rolled back.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/owner.py
@@ -484,13 +484,9 @@
         if not work.is_write and work.step is WorkStep.SINGLE:
             text = self._codec.read_at_position(floor, text)
         if work.step in _STEPS_IN_TRANSACTION:
-            # The session may have changed since the transaction got its connection.
-            try:
-                await connection.apply_session_state(
-                    work.values, work.prepared_name, work.prepared
-                )
-            except UpstreamUnavailableError as error:
-                return _not_sent(str(error), Outcome.ABORTED)
+            refused = await self._update_session_state(connection, work)
+            if refused is not None:
+                return refused
         sent_at_ms = now_ms()
         until_ms = self._attempt_ends_ms(work, sent_at_ms)
         try:
@@ -511,6 +507,25 @@
         self._replica_log.record(reply, floor)
         return self._build_answer(work, reply, sent_at_ms)
 
+    async def _update_session_state(self, connection, work):
+        """Apply what the session changed since its transaction got the connection.
+
+        Returns
+        -------
+        WorkAnswer or None
+            Why the statement was not sent; None if the connection is up to date.
+        """
+        try:
+            with anyio.fail_after(max(0.001, (work.deadline_ms - now_ms()) / 1_000)):
+                await connection.apply_session_state(
+                    work.values, work.prepared_name, work.prepared
+                )
+        except UpstreamUnavailableError as error:
+            return _not_sent(str(error), Outcome.ABORTED)
+        except TimeoutError:
+            return _not_sent("the database did not take the session's values in time")
+        return None
+
     def _attempt_ends_ms(self, work, sent_at_ms):
         """Return when to stop waiting for an answer.
 
--- a/tests/test_fleet_transactions.py
+++ b/tests/test_fleet_transactions.py
@@ -1,5 +1,6 @@
 """Open transactions while the process or the database that holds them starts again."""
 
+import anyio
 import testtools
 
 from bronzescale_core.transaction_ids import START_BITS, TransactionIds
@@ -184,3 +185,49 @@
 
 async def refuse_value(session, request_id, arguments):
     return ["ERROR FAILED no"]
+
+
+class LostOwnAnswerTest(testtools.TestCase):
+    """A database that does not answer what the proxy itself sends in a transaction.
+
+    Setting values and preparing had no time limit inside a transaction, so that the
+    caller got no answer at all.
+    """
+
+    async def check_answered(self, world, handler, *texts):
+        """Check that the last statement is answered though a handler never returns."""
+        callers = []
+        for member in split_members(world):
+            caller = await member.caller("lead")
+            for text in ("SET tenant one", "BEGIN", "WRITE x 1", *texts[:-1]):
+                self.assertEqual("DONE", (await caller.query(text)).code)
+            callers.append(caller)
+        self.patch(DatabaseSession, handler, never_answer)
+        for caller in callers:
+            answer = await caller.query(texts[-1])
+            self.assertEqual("ABORTED", answer.code)
+            ran = {event.request_id for event in world.group.history}
+            self.assertNotIn(answer.request_id, ran)
+        self.assertEqual([], primary_of(world).log)
+
+    @in_loop
+    async def test_execute_is_answered_although_preparing_is_not(self):
+        async with running_world() as world:
+            texts = ("PREPARE s WRITE q1", "EXECUTE s x 2")
+            await self.check_answered(world, "_on_prepare", *texts)
+
+    @in_loop
+    async def test_write_is_answered_although_setting_a_value_is_not(self):
+        async with running_world() as world:
+            texts = ("SET tenant two", "WRITE x 2")
+            await self.check_answered(world, "_on_set", *texts)
+
+    @in_loop
+    async def test_commit_is_answered_although_setting_a_value_is_not(self):
+        async with running_world() as world:
+            texts = ("SET tenant two", "COMMIT")
+            await self.check_answered(world, "_on_set", *texts)
+
+
+async def never_answer(session, request_id, arguments):
+    await anyio.sleep_forever()
