Refuse statements of transactions in the second half of a stop, for MySQL callers too

What callers saw: a stopping proxy passed statements of open transactions on until the end of its grace period and then cut off those that ran, without an answer; peers' statements alike.

Change: in the second half of the grace period a statement of an open transaction is refused (1053, not run) and the transaction rolled back; running statements are answered, waiting connections closed. Peers' statements are refused and what they hold open is rolled back.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/callers.py
@@ -40,6 +40,9 @@
 # Idle time after which a graceful stop closes a connection. If this were shorter, the
 # stop would close connections whose caller is about to send the next statement.
 STOP_MIN_IDLE_MS = 2_000
+# Share of the grace period during which statements of open transactions are passed on.
+# The rest is left for the answers.
+SERVING_GRACE_SHARE = 0.5
 # Layout of COM_STMT_EXECUTE: statement id, flags, iteration count, then the parameters.
 EXECUTE_FLAGS_OFFSET = 4
 EXECUTE_HEADER_BYTES = 9
@@ -252,7 +255,7 @@
 
     async def _answer(self, sql, attributes, writer):
         state = self.session.state
-        if self._server.is_stopping and not state.in_transaction:
+        if self._server.refuses(state):
             packet = make_error_packet(ER_SERVER_SHUTDOWN, "08S01", _SHUTDOWN_TEXT)
             await self.stream.write(packet)
             self.stream.writer.close()
@@ -368,6 +371,7 @@
         self._server = None
         self.port = settings.caller_port
         self.is_stopping = False
+        self._is_refusing = False
 
     @property
     def open_connections(self):
@@ -388,18 +392,33 @@
     async def stop(self):
         """Stop gracefully.
 
-        Refuse new callers, let open transactions and running statements finish, and
-        close the remaining connections at the end of the grace period.
+        Refuse new callers and let running statements finish. Open transactions get a
+        share of the grace period; a statement of one that is still open is refused and
+        the transaction rolled back. Close the remaining connections at the end.
         """
         self.is_stopping = True
         self._server.close()
-        with anyio.move_on_after(self.settings.stop_grace_ms / 1_000):
-            while self._connections:
-                for connection in list(self._connections):
-                    self._close_if_idle(connection)
-                await anyio.sleep(STOP_POLL_INTERVAL_S)
+        grace_s = self.settings.stop_grace_ms / 1_000
+        with anyio.move_on_after(grace_s * SERVING_GRACE_SHARE):
+            await self._close_idle_connections()
+        self._is_refusing = True
+        with anyio.move_on_after(grace_s * (1 - SERVING_GRACE_SHARE)):
+            await self._close_idle_connections()
         self.abort()
 
+    def refuses(self, state):
+        """Return whether statements of a session are refused, since the process stops.
+
+        Closing the connection then rolls back an open transaction.
+        """
+        return self.is_stopping and (self._is_refusing or not state.in_transaction)
+
+    async def _close_idle_connections(self):
+        while self._connections:
+            for connection in list(self._connections):
+                self._close_if_idle(connection)
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
+
     def abort(self):
         """Close the listener and every connection immediately."""
         if self._server is not None:
@@ -408,14 +427,14 @@
             connection.stream.writer.transport.abort()
 
     def _close_if_idle(self, connection):
-        """Close a connection that is idle outside of a transaction.
+        """Close an idle connection unless it has an open transaction to wait for.
 
         A statement that arrives during a stop gets an error that says that it did not
         run. To close the connection instead would leave its outcome unknown.
         """
         is_waiting = connection.stream.is_reading and not connection.is_busy
         is_idle = now_ms() - connection.used_at_ms >= STOP_MIN_IDLE_MS
-        if not is_waiting or not is_idle or connection.session.state.in_transaction:
+        if not is_waiting or not is_idle or not self.refuses(connection.session.state):
             return
         transport = connection.stream.writer.transport
         if not transport.is_closing():
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/compose.py
@@ -13,7 +13,11 @@
 from bronzescale_core.transaction_ids import TransactionIds
 from bronzescale_proxy import wire
 from bronzescale_proxy.admin import AdminServer
-from bronzescale_proxy.callers import CallerServer
+from bronzescale_proxy.callers import (
+    SERVING_GRACE_SHARE,
+    STOP_POLL_INTERVAL_S,
+    CallerServer,
+)
 from bronzescale_proxy.clock import wall_ms
 from bronzescale_proxy.dispatch import Dispatcher
 from bronzescale_proxy.dissemination import Disseminator
@@ -93,7 +97,7 @@
             self.started.set()
             await self._stop_requested.wait()
             with anyio.move_on_after(self.settings.stop_grace_ms / 1_000):
-                await self._stop()
+                await self._stop(peer_server, service)
                 await peer_server.drain(service.find_refusal)
                 logger.info("process: stopped.")
             tasks.cancel_scope.cancel()
@@ -157,14 +161,26 @@
         print(json.dumps(line), flush=True)
         logger.info("process: started in zone %s.", settings.zone)
 
-    async def _stop(self):
+    async def _stop(self, peer_server, service):
         """Refuse new callers, hand over ownership and wait for statements in flight."""
         logger.info("process: stopping; waiting for statements in flight.")
         self.node.membership.leave()
-        await self.callers.stop()
-        await anyio.sleep(HANDOVER_WAIT_S)
-        while any(not owner.is_idle for owner in self.node.owners()):
-            await anyio.sleep(0.05)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._end_peer_transactions, peer_server, service)
+            await self.callers.stop()
+            await anyio.sleep(HANDOVER_WAIT_S)
+            while any(not owner.is_idle for owner in self.node.owners()):
+                await anyio.sleep(STOP_POLL_INTERVAL_S)
+            tasks.cancel_scope.cancel()
+
+    async def _end_peer_transactions(self, peer_server, service):
+        """Roll back what other nodes hold open here once their time is over."""
+        await anyio.sleep(self.settings.stop_grace_ms / 1_000 * SERVING_GRACE_SHARE)
+        peer_server.refuse(service.find_refusal)
+        while True:
+            for owner in self.node.owners():
+                owner.end_unused_transactions()
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
 
 
 async def _close_shielded(resource):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/owner.py
@@ -150,6 +150,12 @@
             if transaction.opener is opener:
                 self.end_transaction(transaction.transaction_id)
 
+    def end_unused_transactions(self):
+        """Roll back the transactions of which no statement is running."""
+        for transaction in list(self._transactions.values()):
+            if not transaction.lock.locked():
+                self.end_transaction(transaction.transaction_id)
+
     def end_idle_transactions(self):
         """Roll back transactions without a statement within the idle timeout."""
         at_ms = now_ms()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/serving.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/serving.py
@@ -31,9 +31,10 @@
     def find_refusal(self, message):
         """Return the answer that refuses a message while this node stops, or None.
 
-        A statement that needs no transaction of this node runs at another one.
+        A statement outside of a transaction runs at another node; the transactions of
+        this node are rolled back.
         """
-        if not isinstance(message, StatementRequest) or message.transaction_id:
+        if not isinstance(message, StatementRequest):
             return None
         text = f"{self._node.settings.node} is stopping"
         return wire.FailureReport("failed", text, progress=Progress.NOT_SENT.value)
--- a/packages/bronzescale-proxy/tests/test_callers.py
+++ b/packages/bronzescale-proxy/tests/test_callers.py
@@ -184,6 +184,37 @@
     run_with_fleet(test)
 
 
+# A stop used to pass statements of transactions on until the end of the grace period
+# and to cut off those that ran.
+@pytest.mark.parametrize("front_end", ["p-a", "p-b"])
+def test_stop_answers_a_running_statement_and_refuses_the_commit(front_end):
+    async def test(fleet):
+        writer = await fleet.connect("p-c")
+        await run_query(writer, "CREATE TABLE t (id INT PRIMARY KEY)")
+        caller = await fleet.connect(front_end)
+        await run_query(caller, "BEGIN")
+        for copy in fleet.groups["service-0"].copies.values():
+            copy.faults.answer_delay_ms = 1_800
+        app = fleet.proxies["p-a"]
+        answers = []
+
+        async def write_row():
+            answers.append(await run_query(caller, "INSERT INTO t VALUES (1)"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(write_row)
+            await anyio.sleep(0.2)
+            app.request_stop()
+        for copy in fleet.groups["service-0"].copies.values():
+            copy.faults.answer_delay_ms = 0
+        assert len(answers) == 1
+        with pytest.raises(errors.Error, match="not run"):
+            await run_query(caller, "COMMIT")
+        assert await run_query(writer, "SELECT id FROM t") == ()
+
+    run_with_fleet(test, stop_grace_ms=3_000)
+
+
 def test_overload_is_refused_immediately_with_a_retry_delay():
     document = make_document()
     document["service"][0]["max_queued"] = 2
