Let an unreadable object of the store cost only itself

Cause: the answer of the store was decoded as a whole. RecursionError was caught by nobody; ValueError was taken for a failure of the store. Ruled out: the decoding of entries, which never saw the entry, and the store, which answered.

Change: an answer that cannot be decoded is split along its brackets without recursion, and each part decoded by itself; what fails, or is over 64 levels deep, is replaced by a value that says so. Objects without a readable name or revision are left out, and a list is never taken as complete because of them. One log line names each object, once for each revision. Groups, hosts, configurations, frames of peers and settings at SIGHUP have declared errors only; names of databases and services must be one printable word.

Open: an answer whose brackets or quotes don't match is read up to that place.

--- a/packages/bronzescale-core/src/bronzescale_core/exceptions.py
+++ b/packages/bronzescale-core/src/bronzescale_core/exceptions.py
@@ -9,6 +9,10 @@
     """A session token could not be parsed."""
 
 
+class UnreadableGroupError(BronzescaleError, ValueError):
+    """The stored state of a group is malformed; another program wrote it."""
+
+
 class InvalidDeclarationError(BronzescaleError):
     """A declaration is invalid.
 
--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -3,6 +3,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from bronzescale_core.exceptions import UnreadableGroupError
+from bronzescale_core.partial_json import describe_unreadable, is_encodable
 from bronzescale_core.positions import TermStart
 
 
@@ -136,8 +138,30 @@
     Returns
     -------
     GroupState
+
+    Raises
+    ------
+    UnreadableGroupError
+        If the document is not such a form.
     """
+    unreadable = describe_unreadable(document)
+    if unreadable is not None:
+        raise UnreadableGroupError(f"the group's state cannot be read: {unreadable}")
+    try:
+        return _load_group(document, version)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UnreadableGroupError(
+            f"the group's state cannot be read: {error!r}; write it again"
+        ) from error
+
+
+def _load_group(document, version):
     starts = tuple(TermStart(*start) for start in document.get("term_starts", ()))
+    if not isinstance(document["term"], int):
+        raise TypeError("the term is not a whole number")
+    for key in ("service", "primary"):
+        if not isinstance(document[key], str) or not is_encodable(document[key]):
+            raise TypeError(f"{key} is not a text")
     return GroupState(
         service=document["service"],
         term=document["term"],
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -252,7 +252,11 @@
                     self._reload()
 
     def _reload(self):
-        settings = self._adapter.reload()
+        try:
+            settings = self._adapter.reload()
+        except (OSError, ValueError) as error:
+            self._log.log_state_change("settings_unreadable", reason=str(error))
+            return
         is_unchanged = settings == self._settings
         self._log.log_state_change("settings_reloaded", is_changed=not is_unchanged)
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -13,6 +13,7 @@
     HEARTBEAT_TIMEOUT_MS,
     Rumor,
 )
+from bronzescale_core.partial_json import describe_unreadable, is_encodable
 from bronzescale_core.pulls import PullPlanner
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_proxy import wire
@@ -266,20 +267,20 @@
             if name == own.name:
                 own_item = item
             else:
-                nodes.append(self._load_host(name, item.value))
+                nodes.append(self._load_host(item))
         self._node.membership.merge_host_list(
             [node for node in nodes if node is not None], set()
         )
         return own_item
 
-    def _load_host(self, name, value):
-        try:
-            return Node(name, value["address"], value["zone"], value["region"])
-        except (KeyError, TypeError) as error:
-            self._node.log.log_decision(
-                "host_unreadable", name=name, reason=repr(error)
-            )
-            return None
+    def _load_host(self, item):
+        value = item.value if isinstance(item.value, dict) else {}
+        fields = [value.get(key) for key in ("address", "zone", "region")]
+        if all(isinstance(text, str) and is_encodable(text) for text in fields):
+            return Node(item.name, *fields)
+        reason = describe_unreadable(value) or "address, zone or region is no text"
+        self._node.report_unreadable(item.kind, item.name, item.version, reason)
+        return None
 
     async def _register(self, own, registered):
         version = registered.version if registered is not None else 0
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -10,12 +10,13 @@
 
 from bronzescale_core.catalog import Catalog
 from bronzescale_core.departures import Departures
+from bronzescale_core.exceptions import UnreadableGroupError
 from bronzescale_core.groups import Phase, dump_group, load_group
 from bronzescale_core.rendezvous import rank_nodes
 from bronzescale_core.store_era import DIGEST_MASK, era_of, reconcile_group
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
-from bronzescale_proxy.exceptions import PeerUnavailableError
+from bronzescale_proxy.exceptions import PeerUnavailableError, StoreError
 from bronzescale_proxy.fleet.allowances import Allowances
 from bronzescale_proxy.fleet.control import CopyControl
 from bronzescale_proxy.fleet.owner import CopyOwner
@@ -49,6 +50,8 @@
 # Findings of one configuration that are logged, so that thousands of bad entries do not
 # flood the log.
 MAX_LOGGED_FINDINGS = 20
+# Names of unreadable objects that are kept, to log each of their versions once.
+MAX_REPORTED_OBJECTS = 1_000
 
 
 class FleetNode:
@@ -129,6 +132,9 @@
         store.era.problem_listeners.append(
             lambda text: self.log.log_decision("era_unusable", reason=text)
         )
+        # Newest version of each unreadable object that the log names.
+        self._reported_versions = {}
+        store.problem_listeners.append(self.report_unreadable)
 
     async def run(self):
         """Run until cancelled."""
@@ -282,13 +288,14 @@
         """Return whether a configuration may come into force after the known one."""
         if self.configuration is None:
             return True
-        configuration = self._decode_configuration(item.value)
+        configuration = self._decode_configuration(item)
         if configuration is None:
             return False
         return configuration.version > self.configuration.version
 
-    def _decode_configuration(self, value):
+    def _decode_configuration(self, item):
         """Return a decoded configuration, or None; decode the same value only once."""
+        value = item.value
         if value is None:
             return None
         if self._decoded is not None and self._decoded[0] is value:
@@ -297,10 +304,35 @@
         try:
             configuration = self.documents.decode_configuration(value)
         except self.documents.UnreadableDocumentError as error:
-            self.log.log_state_change("configuration_unreadable", reason=str(error))
+            self.report_unreadable(CONFIGURATION, item.name, item.version, str(error))
         self._decoded = value, configuration
         return configuration
 
+    def report_unreadable(self, kind, name, version, reason):
+        """Log that an object isn't used, once for each version of it.
+
+        Parameters
+        ----------
+        kind, name : str
+            The object.
+        version : int
+            Its version.
+        reason : str
+            Why it cannot be used.
+        """
+        if self._reported_versions.get((kind, name), -1) >= version:
+            return
+        if len(self._reported_versions) >= MAX_REPORTED_OBJECTS:
+            self._reported_versions.clear()
+        self._reported_versions[(kind, name)] = version
+        self.log.log_state_change(
+            "object_unreadable",
+            kind=kind,
+            name=ascii(name)[1:-1],
+            revision=version,
+            reason=reason,
+        )
+
     def digests(self):
         """Return a digest of the known objects of each shared kind.
 
@@ -361,7 +393,7 @@
         self.notify()
 
     def _apply_configuration(self, item):
-        configuration = self._decode_configuration(item.value)
+        configuration = self._decode_configuration(item)
         if configuration is None:
             return
         known = self.configuration
@@ -388,6 +420,9 @@
         copy = None
         if item.value is not None:
             copy = self.documents.decode_copy(item.name, item.value)
+            if copy is None:
+                problem = self.documents.find_entry_problem(item.name, item.value)
+                self.report_unreadable(item.kind, item.name, item.version, problem)
         if copy is None:
             self._departures.forget(item.name, now_ms())
             if self.catalog.remove(item.name, now_ms()):
@@ -426,10 +461,8 @@
             return
         try:
             state = load_group(item.value, item.version)
-        except (KeyError, TypeError, ValueError) as error:
-            self.log.log_state_change(
-                "group_unreadable", name=item.name, reason=repr(error)
-            )
+        except UnreadableGroupError as error:
+            self.report_unreadable(item.kind, item.name, item.version, str(error))
             return
         self._group_version += 1
         known = self._group_states.get(state.service)
@@ -473,13 +506,16 @@
         Raises
         ------
         StoreError
-            If the read failed.
+            If the read failed, or the state cannot be read.
         """
         item = await self.state_reader.read(service)
         if item is None:
             return None
         self.apply_object(item)
-        return load_group(item.value, item.version)
+        try:
+            return load_group(item.value, item.version)
+        except UnreadableGroupError as error:
+            raise StoreError(f"{error}; delete the object {service}") from error
 
     async def write_state(self, state):
         """Write a group state if the store still has the version that it replaces.
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -11,6 +11,7 @@
 
 from bronzescale_core.membership import Rumor, Status
 from bronzescale_core.objects import StoreObject
+from bronzescale_core.partial_json import limit_depth, unreadable_part
 from bronzescale_core.positions import Position
 from bronzescale_core.rendezvous import Node
 from bronzescale_core.statements import (
@@ -292,7 +293,11 @@
         known = self._known.get(key)
         if known is not None and known[1] == data:
             return known[0]
-        value = _decompress_json(data)
+        try:
+            value = limit_depth(_decompress_json(data))
+        except (ValueError, RecursionError, zlib.error) as error:
+            # The other objects of the frame are readable.
+            value = unreadable_part(f"a peer sent it: {type(error).__name__}")
         self._keep(key, value, data)
         return value
 
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
@@ -1,12 +1,14 @@
 """Stand in for the platform's object store and its API for promotions."""
 
+import itertools
+import json
 import time
 from collections import deque
 
 import anyio
 import uvicorn
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse
+from starlette.responses import Response
 from starlette.routing import Route
 
 from bronzescale_platform.objects import (
@@ -21,6 +23,47 @@
 MAX_HISTORY_CHANGES = 1_000
 
 
+class RawValue(str):
+    """A value that is sent as the bytes that another program wrote.
+
+    Parameters
+    ----------
+    data : bytes
+        What stands in answers in place of the value.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __new__(cls, data):
+        """Return a text that stands for the data inside of the stand-in."""
+        value = super().__new__(cls, f"raw value {next(cls._numbers)}")
+        value.data = data
+        return value
+
+
+class JSONResponse(Response):
+    """A JSON response, with raw values as they were written."""
+
+    media_type = "application/json"
+
+    def render(self, content):
+        """Return the body."""
+        raw_values = []
+
+        def note(value):
+            if isinstance(value, RawValue):
+                raw_values.append(value)
+            elif isinstance(value, dict | list):
+                for child in value.values() if isinstance(value, dict) else value:
+                    note(child)
+
+        note(content)
+        body = json.dumps(content).encode()
+        for value in raw_values:
+            body = body.replace(json.dumps(value).encode(), value.data)
+        return body
+
+
 class ObjectFaults:
     """Switches for the faults of the store; tests change them while it runs."""
 
