Answer statements of a begun transaction whose route is gone

Cause: only statements outside of a transaction, and COMMIT, looked whether the route is there; a transaction keeps its route from its first statement on.

Change: every statement that needs a route is told that it is gone, unless its transaction has one.

Evidence: test_statement_is_answered_after_its_route_went_during_a_transaction (READ, WRITE, EXECUTE, COMMIT) failed before (EndOfStream).

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/front_end.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/front_end.py
@@ -431,7 +431,7 @@
             )
             return
         transaction = self._session.transaction
-        if transaction is None and self._route() is None:
+        if not self._has_route():
             await self._fail_statement(
                 Outcome.NO_DATABASE, "the route is gone", statement.request_id
             )
@@ -449,7 +449,7 @@
                 Outcome.MALFORMED, "no transaction is open", statement.request_id
             )
             return
-        if not transaction.is_bound and self._route() is None:
+        if not self._has_route():
             await self._fail_statement(
                 Outcome.NO_DATABASE, "the route is gone", statement.request_id
             )
@@ -458,6 +458,12 @@
         step = WorkStep.COMMIT if transaction.is_bound else WorkStep.OPEN_AND_COMMIT
         await self._run_in_transaction(work._replace(step=step), transaction)
 
+    def _has_route(self):
+        """Return whether a statement has a route: a bound transaction keeps its own."""
+        transaction = self._session.transaction
+        is_bound = transaction is not None and transaction.is_bound
+        return is_bound or self._route() is not None
+
     def _route(self):
         return self._node.configuration.routes.get(self._database)
 
--- a/tests/test_fleet_serving.py
+++ b/tests/test_fleet_serving.py
@@ -13,7 +13,7 @@
 from bronzescale_proxy.fleet import pool
 from bronzescale_proxy.fleet.metrics import FleetMetrics
 from bronzescale_standins.fleet.testing import in_loop, primary_of
-from bronzescale_standins.fleet.world import MemoryLog, running_world
+from bronzescale_standins.fleet.world import ROUTES, MemoryLog, running_world
 
 
 class ServingTest(testtools.TestCase):
@@ -130,6 +130,33 @@
             self.assertEqual(("DONE", "I"), (ended.code, ended.state))
             self.assertEqual(("-",), (await caller.query("READ x")).rows)
 
+    @in_loop
+    async def test_statement_is_answered_after_its_route_went_during_a_transaction(
+        self,
+    ):
+        """The connection used to end without an answer if none had run before."""
+        texts = ("READ x", "WRITE x 1", "EXECUTE s x", "COMMIT")
+        async with running_world() as world:
+            callers = [await world.members[0].caller("own") for _ in texts]
+            for caller in callers:
+                await caller.query("PREPARE s READ q1")
+                await caller.query("BEGIN")
+            bound = await world.members[0].caller("own")
+            await bound.query("BEGIN")
+            await bound.query("WRITE y 1")
+            world.configure(ROUTES[:2])
+            configurations = [member.process.node for member in world.members]
+            await world.wait_until(
+                lambda: all(
+                    node.configuration.version == world.version
+                    for node in configurations
+                )
+            )
+            for caller, text in zip(callers, texts, strict=True):
+                self.assertEqual("NODB", (await caller.query(text)).code, text)
+            self.assertEqual("DONE", (await bound.query("WRITE y 2")).code)
+            self.assertEqual("DONE", (await bound.query("COMMIT")).code)
+
     @in_loop
     async def test_an_empty_transaction_commits_at_a_database(self):
         async with running_world() as world:
