Leave routes closed after the last customer has gone

Cause: an empty list was read like none at all, and a deployment without customers has public routes only.

Change: an empty list closes every route that isn't marked as public (finding W119). Where the list is gone altogether, a host that knew of customers keeps the routes closed; one that starts then cannot know (docs/design/customers.md). A test asserted that routes are public with an empty list; that was the fault, and it is replaced by one for the missing list and one for the empty list, with the mark in each of its forms.

Evidence: test_routes_stay_closed_after_the_last_customer_has_gone (an empty list, and none) and test_empty_list_of_customers_leaves_the_routes_closed failed before.

--- a/packages/bronzescale-core/src/bronzescale_core/catalog.py
+++ b/packages/bronzescale-core/src/bronzescale_core/catalog.py
@@ -41,6 +41,8 @@
         Priority of the statements; 0 is the most urgent.
     is_public : bool
         Whether callers need no customer's key.
+    is_marked_public : bool
+        Whether that is so in a deployment with customers, too.
     """
 
     database: str
@@ -51,6 +53,7 @@
     max_age_ms: int
     priority: int
     is_public: bool = False
+    is_marked_public: bool = False
 
 
 class ServiceLimits(NamedTuple):
@@ -89,6 +92,8 @@
         Name of the customer that holds a key, by the key's digest.
     findings : tuple of str
         Bad values, how each was read, and what to do about it.
+    has_customers : bool
+        Whether routes that aren't public are for customers only, even if none is left.
     """
 
     version: int
@@ -99,6 +104,29 @@
     customers: dict = MappingProxyType({})
     customer_by_key: dict = MappingProxyType({})
     findings: tuple = ()
+    has_customers: bool = False
+
+    def keep_closed(self, previous):
+        """Return the configuration that follows another one.
+
+        A route that was for customers isn't opened by their absence, only by a mark.
+
+        Parameters
+        ----------
+        previous : Configuration or None
+            The configuration that was in force.
+
+        Returns
+        -------
+        Configuration
+        """
+        if previous is None or not previous.has_customers or self.has_customers:
+            return self
+        routes = {
+            name: route._replace(is_public=route.is_marked_public)
+            for name, route in self.routes.items()
+        }
+        return self._replace(routes=routes, has_customers=True)
 
 
 class Copy(NamedTuple):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -399,7 +399,7 @@
         known = self.configuration
         if known is not None and known.version >= configuration.version:
             return
-        self.configuration = configuration
+        self.configuration = configuration = configuration.keep_closed(known)
         self.log.log_state_change(
             "configuration_in_force",
             version=configuration.version,
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -161,9 +161,19 @@
         self.assertNotIn("mh2r", repr(configuration))
 
     def test_every_route_is_public_without_customers(self):
-        route = documents.decode_configuration(CONFIGURATION).routes["fiti8"]
-        self.assertTrue(route.is_public)
-        self.assertTrue(self.decode(public=False).routes["fiti8"].is_public)
+        for change in ({}, {"public": False}):
+            document = {**CONFIGURATION, "routes": [{**ROUTE, **change}]}
+            configuration = documents.decode_configuration(document)
+            self.assertTrue(configuration.routes["fiti8"].is_public)
+            self.assertFalse(configuration.has_customers)
+
+    def test_empty_list_of_customers_leaves_the_routes_closed(self):
+        """The last customer has gone: nobody but callers of public routes is served."""
+        for public, expected in ((None, False), (False, False), (True, True)):
+            configuration = self.decode(public=public)
+            self.assertEqual(expected, configuration.routes["fiti8"].is_public)
+            self.assertTrue(configuration.has_customers)
+            self.assertIn("W119", " ".join(configuration.findings))
 
     def test_with_customers_only_a_marked_route_is_public(self):
         entry = {"name": "a", "api_keys": ["k"]}
--- a/tests/test_fleet_customers.py
+++ b/tests/test_fleet_customers.py
@@ -99,6 +99,25 @@
                 with testtools.ExpectedException(ConnectionRefusedError, ".*NOAUTH.*"):
                     await member.caller("own", key=key)
 
+    @in_loop
+    async def test_routes_stay_closed_after_the_last_customer_has_gone(self):
+        """An empty list, or none, used to make every route public."""
+        for last in ({}, None):
+            async with running_world(customers=CUSTOMERS) as world:
+                open_session = await world.members[0].caller("own", key="key-a")
+                self.assertTrue((await open_session.query("READ x")).is_done)
+                await _configure(world, last)
+                for member in world.members:
+                    for key in ("key-a", "never", ""):
+                        with testtools.ExpectedException(
+                            ConnectionRefusedError, ".*NOAUTH.*"
+                        ):
+                            await member.caller("own", key=key)
+                self.assertTrue(await _is_closed(open_session))
+                await _configure(world, CUSTOMERS)
+                caller = await world.members[0].caller("own", key="key-a")
+                self.assertTrue((await caller.query("READ x")).is_done)
+
     @in_loop
     async def test_without_customers_any_key_is_served_as_nobodys(self):
         async with running_world() as world:
