Notice within half of the configuration's time that a watch lost its answer

Cause: a watch that waits and one whose answer was lost look alike until the wait of 20 s and 1.5 s of grace have passed, and in a storm every watcher of the fleet ends up with such a watch. Heartbeats find no difference between hosts that are blind alike. Ruled out: rejected configurations, the store's era.

Change: one watcher of the fleet waits only for 1.6 s of 4 s for the configuration, and puts watches in doubt that have not shown a revision which another answer named (core.watch_doubts); they are sent again without a wait, and what is found is sent to all. A watch that doesn't bring within 0.5 s what a peer sent is sent again. To pay for it, other watches wait for 30 s instead of 20, and one host a zone watches the list of hosts.

Open: a checker that the store turns away while other hosts' watches lose answers.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/exceptions.py
@@ -15,6 +15,10 @@
     """The store did not answer; a change may or may not have been applied."""
 
 
+class StoreSilentError(StoreUnavailableError):
+    """The store did not answer in time; the answer may have been lost."""
+
+
 class StoreConflictError(StoreError):
     """The version of an object in the store differs from the expected version.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -1,13 +1,18 @@
 """Keep one node's objects and membership up to date from the store and from peers.
 
 A few nodes of each availability zone watch the store and send its changes to the other
-nodes of their zone. Every node also exchanges heartbeats with some peers. A heartbeat
-carries membership rumors and a digest of each kind of object; a node whose digest
-differs from its peer's asks for the objects of that kind.
+nodes of their zone. One watcher of the fleet, the checker, waits only shortly for the
+configuration, and checks the other watches if the store has newer revisions: an answer
+of the store may be lost, and its watch then waits in vain.
+
+Every node also exchanges heartbeats with some peers. A heartbeat carries membership
+rumors and a digest of each kind of object; a node whose digest differs from its peer's
+asks for the objects of that kind.
 """
 
 import anyio
 
+from bronzescale_core.exceptions import BronzescaleError
 from bronzescale_core.membership import (
     HEARTBEAT_INTERVAL_MS,
     HEARTBEAT_TIMEOUT_MS,
@@ -15,7 +20,8 @@
 )
 from bronzescale_core.partial_json import describe_unreadable, is_encodable
 from bronzescale_core.pulls import PullPlanner
-from bronzescale_core.rendezvous import Node, rank_nodes
+from bronzescale_core.rendezvous import Node, rank_nodes, score
+from bronzescale_core.watch_doubts import WatchDoubts
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
 from bronzescale_proxy.exceptions import (
@@ -23,6 +29,7 @@
     PeerUnavailableError,
     StoreConflictError,
     StoreError,
+    StoreSilentError,
 )
 from bronzescale_proxy.fleet.node import (
     CONFIGURATION,
@@ -35,8 +42,19 @@
 
 WATCHED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
 # Longest wait of a watch that the platform allows; shorter waits cost more calls.
-WATCH_WAIT_MS = 20_000
-# Wait of the first watch after a failure.
+WATCH_WAIT_MS = 30_000
+# Share of the time in which a configuration must be in force that the fleet may learn
+# of nothing after the store has lost answers.
+BLIND_SHARE = 0.5
+# How late the checker's watch may be answered before it is taken as lost. Part of that
+# share; a slow store is told from a lost answer by the next watch.
+CHECK_GRACE_MS = 300
+# The time that the check itself takes, also part of that share.
+CHECK_MARGIN_MS = 100
+MIN_CHECK_WAIT_MS = 500
+# How much later than a peer's message a watch may bring the same change.
+PEER_LEAD_S = 0.5
+# Wait of the first watch after a failure, and of one that is in doubt.
 RETRY_WATCH_WAIT_MS = 1
 # First delay before a retry: a store that refused a single call is asked again after a
 # few of its response times.
@@ -54,6 +72,10 @@
 PULL_TIMEOUT_S = 1.0
 # Nodes of each zone that watch the store and push changes to the rest of the zone.
 WATCHERS_PER_ZONE = 2
+# Heartbeats tell of hosts, too.
+HOST_WATCHERS_PER_ZONE = 1
+# Kinds of which every change must be known in time.
+CHECKED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS)
 # Random delay of a node that registers again. Spreads a fleet of 510 nodes to about 255
 # writes a second.
 REGISTRATION_SPREAD_S = 2.0
@@ -62,6 +84,10 @@
 WATCHER_CHECK_INTERVAL_S = 0.5
 
 
+class _WatchInDoubtError(BronzescaleError):
+    """A watch was ended, or was not answered in time; it is sent again."""
+
+
 class Disseminator:
     """Keep one node's objects and membership up to date.
 
@@ -78,12 +104,21 @@
         self._random = random
         self._failing_kinds = set()
         self._listed_kinds = set()
-        self._watch_scopes = set()
+        self._watch_scopes = {}
+        blind_ms = int(node.settings.configuration_within_ms * BLIND_SHARE)
+        self._check_wait_ms = max(
+            MIN_CHECK_WAIT_MS, blind_ms - CHECK_GRACE_MS - CHECK_MARGIN_MS
+        )
+        self._doubts = WatchDoubts(self._check_wait_ms)
+        # Kinds of which a peer sent a change that the watch has not brought yet.
+        self._awaited_kinds = set()
         self._unasked_seeds = set()
         self._contacted_seeds = set()
         self._is_registering = False
         self._watcher_version = None
-        self._is_watcher = False
+        # Rank from 0 among the watchers of the zone.
+        self._watcher_rank = WATCHERS_PER_ZONE
+        self._is_checker = False
         self._store_answered = anyio.Event()
         # The kind whose calls find out whether the store answers again.
         self._probing_kind = None
@@ -114,6 +149,7 @@
             for kind in WATCHED_KINDS:
                 supervised.keep_running(self._follow_kind, kind)
             supervised.keep_running(self._send_heartbeats)
+            supervised.keep_running(self._follow_role)
 
     # Store
 
@@ -122,7 +158,7 @@
         retry_s = STORE_RETRY_MIN_S
         revision = None
         while True:
-            if revision is not None and not self.is_watcher():
+            if revision is not None and not self.is_watcher(kind):
                 await anyio.sleep(WATCHER_CHECK_INTERVAL_S)
                 continue
             try:
@@ -137,6 +173,11 @@
                     "history_gone", kind=kind, reason=str(error)
                 )
                 revision = None
+            except _WatchInDoubtError as error:
+                self._doubts.doubt(kind)
+                self._node.log.log_decision(
+                    "watch_in_doubt", kind=kind, reason=str(error)
+                )
             except StoreError as error:
                 self._record_store_failure(kind, error)
                 retry_s = await self._wait_to_retry(kind, retry_s)
@@ -169,6 +210,7 @@
         listing = await self._node.store.list(kind)
         if kind in self._failing_kinds:
             self._node.catalog.record_outage(now_ms())
+        self._doubts.record_answer(kind, listing.version, now_ms())
         self._node.apply_list(kind, listing.objects, listing.version)
         own_item = self._merge_hosts() if kind == HOSTS else None
         if kind == GROUPS:
@@ -184,48 +226,129 @@
         return listing.version
 
     async def _watch_kind(self, kind, revision):
-        # A watch that waits would not tell whether the store answers again.
-        is_failing = kind in self._failing_kinds
-        wait_ms = RETRY_WATCH_WAIT_MS if is_failing else WATCH_WAIT_MS
-        with anyio.CancelScope() as scope:
-            self._watch_scopes.add(scope)
-            try:
-                changes = await self._node.store.watch(kind, revision, wait_ms)
-            finally:
-                self._watch_scopes.discard(scope)
-        if scope.cancelled_caught:
-            raise HistoryGoneError("the store returned from a copy; list all again")
+        is_in_doubt = self._doubts.is_doubted(kind)
+        changes = await self._wait_for_changes(kind, revision)
         if kind in self._failing_kinds:
             self._node.catalog.record_outage(now_ms())
+        self._doubts.record_answer(kind, changes.version, now_ms())
         applied = [item for item in changes.objects if self._node.apply_object(item)]
-        self._push_to_zone(applied)
+        if is_in_doubt and applied:
+            # Other watches may have lost the same change.
+            self._node.push(applied)
+        else:
+            self._push_to_zone(applied)
+        if kind == CONFIGURATION and self.is_checker():
+            self._check_others(changes.version)
         if kind == HOSTS and changes.objects:
             await self._ensure_registered(self._merge_hosts())
         return changes.version
 
+    async def _wait_for_changes(self, kind, revision):
+        """Watch a kind once.
+
+        Raises
+        ------
+        HistoryGoneError
+            If all objects must be listed again.
+        _WatchInDoubtError
+            If the watch must be sent again without a wait.
+        """
+        # A watch that waits would not tell whether the store answers again.
+        is_urgent = kind in self._failing_kinds or self._doubts.is_doubted(kind)
+        is_check = not is_urgent and kind == CONFIGURATION and self.is_checker()
+        wait_ms = RETRY_WATCH_WAIT_MS if is_urgent else WATCH_WAIT_MS
+        options = {}
+        if is_check:
+            wait_ms = self._check_wait_ms
+            options = {"grace_s": CHECK_GRACE_MS / 1_000}
+        with anyio.CancelScope() as scope:
+            self._watch_scopes[kind] = scope
+            try:
+                return await self._node.store.watch(kind, revision, wait_ms, **options)
+            except StoreSilentError as error:
+                if not is_check:
+                    raise
+                raise _WatchInDoubtError(str(error)) from error
+            finally:
+                del self._watch_scopes[kind]
+        if self._doubts.is_doubted(kind):
+            raise _WatchInDoubtError("a newer revision is known")
+        raise HistoryGoneError("the store returned from a copy; list all again")
+
     def _end_watches(self, old, new):
         """End the watches of an older era; they may never return."""
-        for scope in self._watch_scopes:
+        for scope in self._watch_scopes.values():
             scope.cancel()
 
-    def is_watcher(self):
-        """Return whether this node watches the store for its zone."""
-        version = self._node.membership.version
-        if version != self._watcher_version:
-            self._watcher_version = version
-            self._is_watcher = self._is_first_in_zone()
-        return self._node.is_stopping or self._is_watcher
+    def _doubt(self, kind):
+        """Send the watch of a kind again, since its answer may have been lost."""
+        self._doubts.doubt(kind)
+        scope = self._watch_scopes.get(kind)
+        if scope is not None:
+            scope.cancel()
 
-    def _is_first_in_zone(self):
-        zone = self._node.settings.zone
-        zone_nodes = [
-            node
-            for node in self._node.membership.eligible_owners()
-            if node.zone == zone
-        ]
-        ranked = rank_nodes(f"store-watch/{zone}", zone_nodes)[:WATCHERS_PER_ZONE]
+    def _check_others(self, version):
+        """Check the watches that have not shown that a version of the store exists."""
+        for kind in self._doubts.kinds_to_check(version, now_ms()):
+            if kind in CHECKED_KINDS:
+                self._doubt(kind)
+
+    def _expect_changes(self, items):
+        """Check later whether the own watches bring what a peer sent."""
+        for item in items:
+            is_expected = item.kind in CHECKED_KINDS and self.is_watcher(item.kind)
+            is_missed = self._doubts.may_have_missed(item.kind, item.version)
+            if is_expected and is_missed and item.kind not in self._awaited_kinds:
+                self._awaited_kinds.add(item.kind)
+                self._node.tasks.start_soon(self._await_change, item.kind, item.version)
+
+    async def _await_change(self, kind, version):
+        try:
+            await anyio.sleep(PEER_LEAD_S)
+        finally:
+            self._awaited_kinds.discard(kind)
+        if self._doubts.may_have_missed(kind, version):
+            self._doubt(kind)
+
+    async def _follow_role(self):
+        """End the long watch of a node that becomes the checker."""
+        was_checker = self.is_checker()
+        while True:
+            await anyio.sleep(WATCHER_CHECK_INTERVAL_S)
+            is_checker = self.is_checker()
+            if is_checker and not was_checker:
+                self._doubt(CONFIGURATION)
+            was_checker = is_checker
+
+    def is_watcher(self, kind):
+        """Return whether this node watches the store's objects of a kind."""
+        self._update_role()
+        count = HOST_WATCHERS_PER_ZONE if kind == HOSTS else WATCHERS_PER_ZONE
+        return self._node.is_stopping or self._watcher_rank < count
+
+    def is_checker(self):
+        """Return whether this node checks the watches of the fleet."""
+        self._update_role()
+        return self._is_checker
+
+    def _update_role(self):
+        version = self._node.membership.version
+        if version == self._watcher_version:
+            return
+        self._watcher_version = version
         own = self._node.settings.node
-        return any(node.name == own for node in ranked)
+        zone = self._node.settings.zone
+        by_zone = {}
+        for node in self._node.membership.eligible_owners():
+            by_zone.setdefault(node.zone, []).append(node)
+        ranked = rank_nodes(f"store-watch/{zone}", by_zone.get(zone, ()))
+        names = [node.name for node in ranked[:WATCHERS_PER_ZONE]]
+        self._watcher_rank = names.index(own) if own in names else WATCHERS_PER_ZONE
+        # Zones in the order of a rank of their own, so that the checker is a watcher.
+        first_zone = max(
+            by_zone, key=lambda name: score("store-check", name), default=""
+        )
+        self._is_checker = self._watcher_rank == 0 and zone == first_zone
 
     def _push_to_zone(self, applied):
         if applied:
@@ -477,6 +600,7 @@
     def apply_objects(self, message):
         """Apply objects that a peer sent."""
         applied = [item for item in message.objects if self._node.apply_object(item)]
+        self._expect_changes(applied)
         if any(item.kind == HOSTS for item in applied):
             self._merge_hosts()
         if any(self._is_own_deletion(item) for item in applied):
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/objects.py
@@ -71,6 +71,8 @@
         self.is_down = False
         self.delay_s = 0.0
         self.lose_next_write_answers = 0
+        # Kinds of which every watch loses its next answer.
+        self.kinds_with_lost_watches = set()
         self.refuses_promotions = False
 
 
@@ -286,6 +288,9 @@
                 if revision > since_revision and changed_kind == kind
             ]
             remaining_s = deadline_s - time.monotonic()
+            if events and kind in self.faults.kinds_with_lost_watches:
+                # Longer than any watch waits.
+                await anyio.sleep(60)
             if events or remaining_s <= 0:
                 return JSONResponse({"events": events, "current_rev": self.revision})
             changed = self._changed
