--- a/tests/adapter/test_store_answers.py
+++ b/tests/adapter/test_store_answers.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bronzescale_core.store_era import StoreEra, make_version
+from bronzescale_core.store_era import StoreEra, make_version, revision_of
 from bronzescale_platform import documents
 from bronzescale_platform.objects import ObjectStore, _HttpResponse, _parse_json
 from bronzescale_proxy import wire
@@ -131,6 +131,35 @@
         self.assertIsNone(run_call(store, "list", "upstreams"))
 
 
+class _PagedClient:
+    """A store whose list has two pages, and that changes between them."""
+
+    def __init__(self):
+        self.targets = []
+
+    async def call(self, method, target, *arguments, **options):
+        self.targets.append(target)
+        is_first = "after" not in target
+        name, revision = ("a", 4) if is_first else ("b", 3)
+        document = {
+            "items": [{"meta": {"name": name, "revision": revision}, "spec": {}}],
+            "has_more": is_first,
+            "current_rev": 5 if is_first else 9,
+        }
+        return _HttpResponse(200, document, "1")
+
+
+class PagedListTest(testtools.TestCase):
+    def test_list_is_continued_from_the_revision_of_its_first_page(self):
+        """An object of the first page may have changed before the last was sent."""
+        client = _PagedClient()
+        store = ObjectStore(client, client, StoreEra(lambda: 0))
+        store.era.read_answer("1", 0)
+        listing = run_call(store, "list", "upstreams")
+        self.assertEqual(["a", "b"], [item.name for item in listing.objects])
+        self.assertEqual(5, revision_of(listing.version))
+
+
 class SettingsTextTest(testtools.TestCase):
     @run_examples
     @given(
