--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -25,11 +25,12 @@
 import cyclopts
 from cyclopts import Parameter
 
+from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_standins.fleet.callers import LineCaller
 from bronzescale_standins.fleet.soak_callers import SoakCaller
-from bronzescale_standins.fleet.soak_faults import FAULTS
-from bronzescale_standins.fleet.soak_history import Violation, check
-from bronzescale_standins.fleet.world import ZONES, World, run_with_status
+from bronzescale_standins.fleet.soak_faults import FAULTS, put_foreign_entries
+from bronzescale_standins.fleet.soak_history import Violation, check, find_cut_off
+from bronzescale_standins.fleet.world import ROUTES, ZONES, World, run_with_status
 from bronzescale_standins.links import Forwarder, LinkTable
 
 ROOT = Path(__file__).resolve().parents[5]
@@ -38,6 +39,18 @@
 # A node that serves no write within this time after the fault injection has not
 # recovered, which is a violation.
 RECOVERY_TIMEOUT_S = 12.0
+# Bounds of the smallest deployments on the users' platform.
+STABILITY_S = 5.0
+CONFIGURATION_IN_FORCE_S = 4.0
+# How long statements run, usually and while a process is stopped.
+WORK_S = 0.002
+STOP_WORK_S = 0.15
+# Callers that use the process that is stopped until it is gone.
+STOP_CALLERS = 8
+# Callers that pause inside transactions, and restarts meanwhile. Nodes that have just
+# started hold few transactions, which are the easiest to confuse.
+PATIENT_CALLERS = 12
+RESTARTS = 6
 LISTEN_PORTS = {"front": 8784, "ready": 8785, "control": 8782}
 # Loopback networks 127.0.N.x; a run takes the first free one from that of its seed on.
 SUBNETS = 200
@@ -179,13 +192,114 @@
                     rng = random.Random(self.rng.random())
                     tasks.start_soon(SoakCaller(number, self, rng).run)
                 await self._inject_faults(seconds, fault_names)
-                recovery_violation = await self._wait_until_serving("recovery")
-                await anyio.sleep(1.0)
+                ends = [
+                    start_violation,
+                    await self._wait_until_serving("recovery"),
+                    await self._lose_all_beside_foreign_entries(),
+                    await self._restart_under_transactions(),
+                    *await self._stop_one_under_load(),
+                    await self._drop_route_after_lost_watches(),
+                ]
                 tasks.cancel_scope.cancel()
         violations = check(self.operations, self.group, self.world.customer_versions)
-        ends = (start_violation, recovery_violation)
         return violations + [violation for violation in ends if violation]
 
+    # What is done at the end of each run, with no other fault in force
+
+    async def _lose_all_beside_foreign_entries(self):
+        """Kill every process while the store holds entries that cannot be read."""
+        names = put_foreign_entries(self.platform, self.rng)
+        for member in self.members:
+            member.kill()
+        violation = await self._wait_until_serving("a start beside foreign entries")
+        for name in names:
+            self.platform.delete("servers", name)
+        return violation
+
+    async def _restart_under_transactions(self):
+        """Restart nodes and databases while callers pause inside transactions."""
+        async with anyio.create_task_group() as tasks:
+            for number in range(PATIENT_CALLERS):
+                rng = random.Random(self.rng.random())
+                number += self.caller_count + STOP_CALLERS
+                caller = SoakCaller(number, self, rng, is_patient=True)
+                tasks.start_soon(caller.run)
+            for number in range(RESTARTS):
+                await anyio.sleep(self.rng.uniform(0.6, 1.2))
+                if number % 2:
+                    await self._inject_fault("restart_database")
+                    continue
+                owner = self._owner_of_primary()
+                owner.kill()
+                owner.start()
+            tasks.cancel_scope.cancel()
+        return await self._wait_until_serving("restarts under transactions")
+
+    def _owner_of_primary(self):
+        """Return the member that holds the connections to the primary."""
+        primary = self.group.primary() or next(iter(self.group.databases.values()))
+        nodes = [Node(m.name, m.host, m.zone, ZONES[m.zone]) for m in self.members]
+        region = ZONES[primary.zone]
+        (first,) = rank_nodes(primary.instance, nodes, primary.zone, region, 1)
+        return next(member for member in self.members if member.name == first.name)
+
+    async def _stop_one_under_load(self):
+        """Stop a process whose callers go on until it is gone; nothing is cut off."""
+        for database in self.group.databases.values():
+            database.work_s = STOP_WORK_S
+        await anyio.sleep(STABILITY_S)
+        member = self.rng.choice(self.members)
+        async with anyio.create_task_group() as tasks:
+            # A balancer sends callers to a stopping process while it has no other one.
+            for number in range(STOP_CALLERS):
+                rng = random.Random(self.rng.random())
+                number += self.caller_count
+                caller = SoakCaller(number, self, rng, member, is_patient=True)
+                tasks.start_soon(caller.run)
+            await anyio.sleep(STOP_WORK_S * 2)
+            began_s = time.monotonic()
+            member.send_signal(signal.SIGTERM)
+            with anyio.move_on_after(STOP_GRACE_S):
+                while member.process.poll() is None:
+                    await anyio.sleep(0.02)
+            ended_s = time.monotonic()
+            member.kill()
+            await anyio.sleep(STOP_WORK_S * 2)
+            tasks.cancel_scope.cancel()
+        for database in self.group.databases.values():
+            database.work_s = WORK_S
+        cut_off = find_cut_off(
+            self.operations, self.group, member.name, began_s, ended_s
+        )
+        return [*cut_off, await self._wait_until_serving("a planned stop")]
+
+    async def _drop_route_after_lost_watches(self):
+        """Lose an answer of every watch; the next configuration must come in force."""
+        lost = self.platform.faults.kinds_with_lost_watches
+        lost.add("config")
+        self.world.configure()
+        await anyio.sleep(0.3)
+        lost.clear()
+        self.world.configure(ROUTES[:2])
+        await anyio.sleep(CONFIGURATION_IN_FORCE_S)
+        dropped = ROUTES[2]["host"]
+        using = [m.name for m in self.members if await self._has_route(m, dropped)]
+        if using:
+            return Violation(
+                "configuration", f"{using} use the dropped route {dropped}"
+            )
+        return None
+
+    async def _has_route(self, member, database):
+        try:
+            caller = await LineCaller.connect(
+                member.caller_port, database, host=member.host, key=self.key_of(0)
+            )
+        except (OSError, TimeoutError):
+            return False
+        await caller.close()
+        return True
+
     async def _start_standins(self, tasks):
         await tasks.start(run_with_status, self.platform)
         self.store_address = f"127.0.0.1:{self.platform.port}"
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_faults.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_faults.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from bronzescale_standins.fleet.objects import RawValue
+
 
 def _sample_members(soak, rng, max_count=2):
     count = rng.randint(1, max_count)
@@ -100,6 +102,20 @@
         await soak.start_database(database)
 
 
+async def restart_database(soak, rng):
+    """Crash a database for a moment; it starts again under its id, with its log."""
+    database = soak.group.databases[rng.choice(sorted(soak.group.databases))]
+    if not database.is_running:
+        return
+    database.stop()
+    await anyio.sleep(rng.uniform(0.2, 0.5))
+    if not database.is_running:
+        database.started_at_ms += 1_000
+        if soak.group.primary() is not database:
+            database.is_primary = False
+        await soak.start_database(database)
+
+
 async def silence_database(soak, rng):
     """Make a database hang while its connections stay open."""
     database = soak.group.databases[rng.choice(sorted(soak.group.databases))]
@@ -141,6 +157,39 @@
     soak.platform.faults.lose_next_write_answers = rng.randint(1, 3)
 
 
+async def store_loses_watches(soak, rng):
+    """Lose the answers of watches while configurations follow each other."""
+    lost = soak.platform.faults.kinds_with_lost_watches
+    kinds = set(rng.sample(("config", "servers", "bronzescale-groups"), 2))
+    lost.update(kinds)
+    for _ in range(rng.randint(2, 6)):
+        soak.world.configure()
+        await anyio.sleep(0.33)
+    lost.difference_update(kinds)
+
+
+async def write_foreign_entries(soak, rng):
+    """Let another program write objects that cannot be read, and delete them later."""
+    names = put_foreign_entries(soak.platform, rng)
+    await anyio.sleep(rng.uniform(0.5, 4))
+    for name in names:
+        soak.platform.delete("servers", name)
+
+
+def put_foreign_entries(platform, rng):
+    """Write unreadable entries of databases; return their names."""
+    values = {
+        "deep": RawValue(b'{"slots": ' + b"[" * 2_000 + b"]" * 2_000 + b"}"),
+        "digits": RawValue(b'{"slots": ' + b"9" * 5_000 + b"}"),
+        "encoding": RawValue(b'{"service": "\xff\xfe"}'),
+        "type": {"service": 5, "slots": []},
+    }
+    names = rng.sample(sorted(values), 2)
+    for name in names:
+        platform.put("servers", name, values[name])
+    return names
+
+
 async def store_forgets(soak, rng):
     """Discard the store's history, so that watches must list again."""
     soak.platform.compact()
@@ -196,12 +245,15 @@
         cut_store,
         delay_database,
         crash_database,
+        restart_database,
         silence_database,
         deafen_replica,
         lose_answers,
         store_down,
         store_slow,
         store_loses_answers,
+        store_loses_watches,
+        write_foreign_entries,
         store_forgets,
         store_restored,
         configure,
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_history.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_history.py
@@ -48,6 +48,13 @@
         Ids of the requests of the operation, in order.
     key : str
         Customer's key that the session was opened with.
+    node : str
+        Node that served the session.
+    expected : tuple of (str, tuple of (str, str), str)
+        For each request: its id, and the session values, sorted by name, and the shape
+        of a prepared statement that it must run with.
+    unanswered : str
+        Id of the request that was sent and got no answer; empty for none.
     """
 
     caller: int
@@ -61,6 +68,9 @@
     ended_s: float
     request_ids: tuple
     key: str = ""
+    node: str = ""
+    expected: tuple = ()
+    unanswered: str = ""
 
 
 class Violation(NamedTuple):
@@ -95,6 +105,7 @@
         _check_fencing_tokens,
         _check_transactions,
         _check_session_values,
+        _check_commits,
     )
     violations = [
         violation for run_check in checks for violation in run_check(operations, group)
@@ -234,21 +245,71 @@
 
 
 def _check_session_values(operations, group):
-    """Check that statements run with the session value of their own caller."""
+    """Check that statements run with the session of their own caller.
+
+    The values and the prepared shape are those that were acknowledged last.
+    """
+    expected = {
+        request: (values, shape)
+        for operation in operations
+        for request, values, shape in operation.expected
+    }
+    for event in group.history:
+        if event.kind not in ("read", "write") or event.request_id not in expected:
+            continue
+        values, shape = event.detail[2][:2]
+        found = tuple(sorted(values.items())), shape
+        if found != expected[event.request_id]:
+            wanted = expected[event.request_id]
+            yield Violation("values", f"{event} ran with {found}, not {wanted}")
+
+
+def _check_commits(operations, group):
+    """Check that a commit holds the writes of its own caller, who asked for it."""
     callers_by_request = {
         request: operation.caller
         for operation in operations
         for request in operation.request_ids
     }
-    for event in group.history:
-        if (
-            event.kind not in ("read", "write")
-            or event.request_id not in callers_by_request
-        ):
-            continue
-        values = event.detail[2][0]
-        if values.get("who") != str(callers_by_request[event.request_id]):
-            yield Violation("values", f"{event} ran with {values}")
+    for event in _commit_events(group):
+        caller = callers_by_request.get(event.request_id)
+        items = {item for item, _ in event.detail.writes}
+        if caller is not None and items != {f"i{caller}"}:
+            yield Violation("mixed", f"{event} holds {items} for caller {caller}")
+
+
+def find_cut_off(operations, group, node, began_s, ended_s):
+    """Return the violations of a planned stop of a node with no other disturbance.
+
+    A request that ran at a database must be answered.
+
+    Parameters
+    ----------
+    operations : list of Operation
+        Operations of the callers.
+    group : Group
+        Databases with their history.
+    node : str
+        Node that was stopped.
+    began_s, ended_s : float
+        Monotonic times of the signal and of the end of the process.
+
+    Returns
+    -------
+    list of Violation
+    """
+    ran = {
+        event.request_id
+        for event in group.history
+        if event.kind in ("read", "write", "commit", "empty_commit")
+    }
+    return [
+        Violation("cut off", f"{operation} ran while {node} stopped")
+        for operation in operations
+        if operation.node == node
+        and began_s <= operation.ended_s <= ended_s + 1
+        and operation.unanswered in ran
+    ]
 
 
 def _check_customers(operations, group, versions):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,7 +31,7 @@
             env={**os.environ, "PYTHONPATH": str(ROOT / "platform")},
             capture_output=True,
             text=True,
-            timeout=90,
+            timeout=180,
             check=False,
         )
         self.assertEqual(0, run.returncode, run.stdout + run.stderr)
--- a/tests/test_soak_history.py
+++ b/tests/test_soak_history.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from bronzescale_standins.fleet import soak
+from bronzescale_standins.fleet import soak, soak_history
 from bronzescale_standins.fleet.database import Group, LogEntry
 from bronzescale_standins.fleet.soak_history import Operation, check
 
@@ -105,8 +105,33 @@
         self.assertIn("apart", self.violated(split))
 
     def test_statement_with_values_of_another_session(self):
-        self.record_read("r1", 1, who="2")
-        self.assertEqual(["values"], self.violated(operation(), read()))
+        for values, shape in (((("who", "2"),), ""), ((("who", "1"),), "q1")):
+            expected = (("r1", values, shape),)
+            self.group.history = self.group.history[:2]
+            self.record_read("r1", 1)
+            found = self.violated(operation(), read(expected=expected))
+            self.assertEqual(["values"], found)
+        expected = (("r1", (("who", "1"),), ""),)
+        self.assertEqual([], self.violated(operation(), read(expected=expected)))
+
+    def test_commit_of_what_another_caller_wrote(self):
+        other = operation(caller=2, item="i2", request_ids=("s1",))
+        self.assertEqual(["mixed"], self.violated(other))
+
+    def test_request_that_ran_and_was_cut_off_by_a_planned_stop(self):
+        self.record_read("r1", 1)
+        lost = read(code="LOST", node="n1", unanswered="r1")
+        for change, count in (
+            ({}, 1),
+            ({"unanswered": ""}, 0),
+            ({"node": "n2"}, 0),
+            ({"unanswered": "never ran"}, 0),
+            ({"ended_s": 9.0}, 0),
+        ):
+            found = soak_history.find_cut_off(
+                [lost._replace(**change)], self.group, "n1", 10.0, 15.0
+            )
+            self.assertEqual(count, len(found), change)
 
 
 class CustomerChecksTest(SoakChecksTest):
