--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_callers.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_callers.py
@@ -177,8 +177,8 @@
                 code,
                 began_s,
                 tuple(request_ids),
-                tuple(expected),
-                unanswered,
+                expected=tuple(expected),
+                unanswered=unanswered,
             )
 
     async def _set_value(self, caller, name, value):
@@ -204,18 +204,8 @@
             return f"EXECUTE {PREPARED_NAME} {item}", self._shape
         return statement, ""
 
-    def _record(
-        self,
-        route,
-        item,
-        value,
-        is_write,
-        code,
-        began_s,
-        request_ids,
-        expected=(),
-        unanswered="",
-    ):
+    def _record(self, route, item, value, is_write, code, began_s, request_ids, **sent):
+        """Add an operation to the history; `sent` are fields about its requests."""
         operation = Operation(
             self._number,
             (self._number, self._session_number),
@@ -229,7 +219,6 @@
             request_ids,
             self._key,
             self._node,
-            expected,
-            unanswered,
+            **sent,
         )
         self._soak.operations.append(operation)
