Show who watches the store, and by which configuration a caller is refused

The hypotheses about a route that is refused too long (every watch blind; every watch blind while the checker is cut off; a start from an older peer) left the same lines: database_unknown with a version, and nothing that said which host was to notice, or when a watch had been answered. Now a change of role logs watch_role, database_unknown names the age of the configuration in force, and the state dump holds each watch's version and the time since its last answer. Nothing that decides changes.

--- a/packages/bronzescale-core/src/bronzescale_core/watch_doubts.py
+++ b/packages/bronzescale-core/src/bronzescale_core/watch_doubts.py
@@ -33,6 +33,17 @@
         self._answered_at_ms[kind] = now_ms
         self._doubted.discard(kind)
 
+    def dump(self, now_ms):
+        """Return what each watch has shown, for the state dump."""
+        return {
+            kind: {
+                "version": version,
+                "answered_ms_ago": now_ms - self._answered_at_ms[kind],
+                "is_doubted": kind in self._doubted,
+            }
+            for kind, version in self._seen.items()
+        }
+
     def is_doubted(self, kind):
         """Return whether the watch of a kind is to be sent again without a wait."""
         return kind in self._doubted
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/compose.py
@@ -224,6 +224,7 @@
             "is_ready": self.is_ready(),
             "configuration_version": node.configuration and node.configuration.version,
             "callers": self._callers.open_count,
+            "watches": self._disseminator.dump(),
             "peers": [
                 {"name": rumor.node.name, "status": rumor.status.name}
                 for rumor in node.membership.statuses()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -119,6 +119,7 @@
         # Rank from 0 among the watchers of the zone.
         self._watcher_rank = WATCHERS_PER_ZONE
         self._is_checker = False
+        self._logged_role = None
         self._store_answered = anyio.Event()
         # The kind whose calls find out whether the store answers again.
         self._probing_kind = None
@@ -311,15 +312,32 @@
             self._doubt(kind)
 
     async def _follow_role(self):
-        """End the long watch of a node that becomes the checker."""
+        """Log the role; end the long watch of a node that becomes the checker."""
         was_checker = self.is_checker()
         while True:
+            self._log_role()
             await anyio.sleep(WATCHER_CHECK_INTERVAL_S)
             is_checker = self.is_checker()
             if is_checker and not was_checker:
                 self._doubt(CONFIGURATION)
             was_checker = is_checker
 
+    def _log_role(self):
+        role = {
+            "is_checker": self.is_checker(),
+            "watches": [kind for kind in WATCHED_KINDS if self.is_watcher(kind)],
+        }
+        if role != self._logged_role:
+            self._logged_role = role
+            self._node.log.log_state_change("watch_role", **role)
+
+    def dump(self):
+        """Return this node's part in watching the store, for the state dump."""
+        return {
+            "is_checker": self.is_checker(),
+            "kinds": self._doubts.dump(now_ms()),
+        }
+
     def is_watcher(self, kind):
         """Return whether this node watches the store's objects of a kind."""
         self._update_role()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/front_end.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/front_end.py
@@ -132,6 +132,7 @@
                 "database_unknown",
                 database=message.database,
                 version=configuration.version,
+                age_ms=self._node.configuration_age_ms,
             )
             text = f"no route has the name {message.database[:80]}"
             await self._stream.send(
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -105,6 +105,7 @@
         self.catalog = Catalog()
         self._departures = Departures()
         self.configuration = None
+        self._configured_at_ms = 0
         # The value that was decoded last, and the result.
         self._decoded = None
         self.is_stopping = False
@@ -400,6 +401,7 @@
         if known is not None and known.version >= configuration.version:
             return
         self.configuration = configuration = configuration.keep_closed(known)
+        self._configured_at_ms = now_ms()
         self.log.log_state_change(
             "configuration_in_force",
             version=configuration.version,
@@ -416,6 +418,11 @@
         for listener in self.configuration_listeners:
             listener()
 
+    @property
+    def configuration_age_ms(self):
+        """Return for how long the configuration has been in force at this node."""
+        return now_ms() - self._configured_at_ms
+
     def _apply_upstream(self, item, previous_version):
         copy = None
         if item.value is not None:
