--- a/tests/test_fleet_lost_watches.py
+++ b/tests/test_fleet_lost_watches.py
@@ -9,6 +9,7 @@
 
 from bronzescale_standins.fleet.testing import in_loop
 from bronzescale_standins.fleet.world import ROUTES, running_world
+from bronzescale_standins.links import Forwarder, LinkTable
 
 # `bounds.config_apply_ms` of the smallest deployments.
 IN_FORCE_WITHIN_S = 4.0
@@ -34,7 +35,53 @@
     watches.clear()
 
 
+async def start_behind_links(world):
+    """Start all nodes again, each with a link of its own to the store."""
+    links = LinkTable({})
+    for member in world.members:
+        target = f"127.0.0.1:{world.platform.port}"
+        link = Forwarder(links, member.name, "store", target)
+        await link.listen()
+        world.tasks.start_soon(link.run)
+        member.store_address = link.address
+    for member in world.members:
+        await world.restart_member(member)
+    return links
+
+
 class LostWatchTest(testtools.TestCase):
+    # Guards against an added route that is refused long after its acknowledgement.
+    @in_loop
+    async def test_added_route_is_served_in_time_after_lost_answers(self):
+        async with running_world() as world:
+            await anyio.sleep(1.0)
+            await blind_all_watches(world, "config")
+            world.configure((*ROUTES, {**ROUTES[0], "host": "added"}))
+            await anyio.sleep(IN_FORCE_WITHIN_S)
+            for member in world.members:
+                caller = await member.caller("added")
+                self.assertEqual("DONE", (await caller.query("READ x")).code)
+
+    # The same while the host that checks the other hosts' watches is cut off.
+    @in_loop
+    async def test_added_route_is_served_in_time_while_the_checker_is_cut_off(self):
+        async with running_world() as world:
+            links = await start_behind_links(world)
+            await anyio.sleep(2.0)
+            checkers = [
+                member
+                for member in world.members
+                if member.process.dump()["watches"]["is_checker"]
+            ]
+            self.assertEqual(1, len(checkers))
+            await blind_all_watches(world, "config")
+            links.cut({frozenset((checkers[0].name, "store"))})
+            world.configure((*ROUTES, {**ROUTES[0], "host": "added"}))
+            await anyio.sleep(IN_FORCE_WITHIN_S)
+            for member in world.members:
+                caller = await member.caller("added")
+                self.assertEqual("DONE", (await caller.query("READ x")).code)
+
     @in_loop
     async def test_change_after_lost_answers_is_in_force_in_time(self):
         for nodes in (3, 7):
