Let the next watcher check if the checker's reports are overdue

What callers saw: NODB for a route that was acknowledged 4 s before, at hosts that reach the store, while the one host that checks the watches is cut off from it and every other watch has lost an answer. Only the waits of 30 s ended that.

Cause: a duty of one host whose failure only itself notices.

Ways weighed: the checker asks another host to check once its own calls fail (covers a cut from the store, not one from its peers, nor a host that stands still); every zone's first watcher checks (no message, but six times the calls); reports whose absence makes the next watcher in rank check. The last one is kept: it covers each of the three, and costs no call while the checker works. Reports are pushes without objects, which older releases ignore.

Bounds: 1.6 s of wait, 0.3 s of grace, 0.3 s for each host passed over, of 4 s.

Order and timing without network: test_check_duty.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -3,7 +3,8 @@
 A few nodes of each availability zone watch the store and send its changes to the other
 nodes of their zone. One watcher of the fleet, the checker, waits only shortly for the
 configuration, and checks the other watches if the store has newer revisions: an answer
-of the store may be lost, and its watch then waits in vain.
+of the store may be lost, and its watch then waits in vain. It reports its checks to the
+other watchers; if it cannot check, the next one in rank does.
 
 Every node also exchanges heartbeats with some peers. A heartbeat carries membership
 rumors and a digest of each kind of object; a node whose digest differs from its peer's
@@ -12,6 +13,7 @@
 
 import anyio
 
+from bronzescale_core.check_duty import CheckDuty, rank_watchers
 from bronzescale_core.exceptions import BronzescaleError
 from bronzescale_core.membership import (
     HEARTBEAT_INTERVAL_MS,
@@ -20,7 +22,7 @@
 )
 from bronzescale_core.partial_json import describe_unreadable, is_encodable
 from bronzescale_core.pulls import PullPlanner
-from bronzescale_core.rendezvous import Node, rank_nodes, score
+from bronzescale_core.rendezvous import Node
 from bronzescale_core.watch_doubts import WatchDoubts
 from bronzescale_proxy import wire
 from bronzescale_proxy.clock import now_ms
@@ -79,6 +81,8 @@
 # Random delay of a node that registers again. Spreads a fleet of 510 nodes to about 255
 # writes a second.
 REGISTRATION_SPREAD_S = 2.0
+# Shortest pause before a node looks again whether it must check.
+MIN_DUTY_PAUSE_S = 0.05
 # How often a node checks whether it has become a watcher; the membership, on which this
 # depends, changes no faster.
 WATCHER_CHECK_INTERVAL_S = 0.5
@@ -116,9 +120,14 @@
         self._contacted_seeds = set()
         self._is_registering = False
         self._watcher_version = None
+        self._watchers = []
         # Rank from 0 among the watchers of the zone.
-        self._watcher_rank = WATCHERS_PER_ZONE
-        self._is_checker = False
+        self._zone_rank = WATCHERS_PER_ZONE
+        # Rank from 0 among all watchers; None if this node is none.
+        self._check_rank = None
+        self._duty = CheckDuty(
+            self._check_wait_ms + CHECK_GRACE_MS, CHECK_GRACE_MS, now_ms()
+        )
         self._logged_role = None
         self._store_answered = anyio.Event()
         # The kind whose calls find out whether the store answers again.
@@ -240,6 +249,7 @@
             self._push_to_zone(applied)
         if kind == CONFIGURATION and self.is_checker():
             self._check_others(changes.version)
+            self._report_check()
         if kind == HOSTS and changes.objects:
             await self._ensure_registered(self._merge_hosts())
         return changes.version
@@ -316,12 +326,20 @@
         was_checker = self.is_checker()
         while True:
             self._log_role()
-            await anyio.sleep(WATCHER_CHECK_INTERVAL_S)
+            await anyio.sleep(self._duty_pause_s())
             is_checker = self.is_checker()
             if is_checker and not was_checker:
                 self._doubt(CONFIGURATION)
             was_checker = is_checker
 
+    def _duty_pause_s(self):
+        pause_s = WATCHER_CHECK_INTERVAL_S
+        if self._check_rank is not None:
+            left_ms = self._duty.due_at_ms(self._check_rank) - now_ms()
+            if left_ms > 0:
+                pause_s = min(pause_s, left_ms / 1_000)
+        return max(MIN_DUTY_PAUSE_S, pause_s)
+
     def _log_role(self):
         role = {
             "is_checker": self.is_checker(),
@@ -342,31 +360,36 @@
         """Return whether this node watches the store's objects of a kind."""
         self._update_role()
         count = HOST_WATCHERS_PER_ZONE if kind == HOSTS else WATCHERS_PER_ZONE
-        return self._node.is_stopping or self._watcher_rank < count
+        return self._node.is_stopping or self._zone_rank < count
 
     def is_checker(self):
         """Return whether this node checks the watches of the fleet."""
         self._update_role()
-        return self._is_checker
+        if self._check_rank is None:
+            return False
+        return self._duty.due_at_ms(self._check_rank) <= now_ms()
 
     def _update_role(self):
         version = self._node.membership.version
         if version == self._watcher_version:
             return
         self._watcher_version = version
-        own = self._node.settings.node
-        zone = self._node.settings.zone
-        by_zone = {}
-        for node in self._node.membership.eligible_owners():
-            by_zone.setdefault(node.zone, []).append(node)
-        ranked = rank_nodes(f"store-watch/{zone}", by_zone.get(zone, ()))
-        names = [node.name for node in ranked[:WATCHERS_PER_ZONE]]
-        self._watcher_rank = names.index(own) if own in names else WATCHERS_PER_ZONE
-        # Zones in the order of a rank of their own, so that the checker is a watcher.
-        first_zone = max(
-            by_zone, key=lambda name: score("store-check", name), default=""
+        self._watchers = rank_watchers(
+            self._node.membership.eligible_owners(), WATCHERS_PER_ZONE
         )
-        self._is_checker = self._watcher_rank == 0 and zone == first_zone
+        self._zone_rank, self._check_rank = WATCHERS_PER_ZONE, None
+        for rank, watcher in enumerate(self._watchers):
+            if watcher.node.name == self._node.settings.node:
+                self._zone_rank, self._check_rank = watcher.zone_rank, rank
+
+    def _report_check(self):
+        """Tell the other watchers that the store was asked for a new configuration."""
+        report = wire.Objects(wire.CHECK_REPORT, -1, [])
+        for watcher in self._watchers:
+            if watcher.node.name != self._node.settings.node:
+                self._node.tasks.start_soon(
+                    self._node.peers.send_one_way, watcher.node, report
+                )
 
     def _push_to_zone(self, applied):
         if applied:
@@ -617,6 +640,9 @@
 
     def apply_objects(self, message):
         """Apply objects that a peer sent."""
+        if message.since == wire.CHECK_REPORT:
+            self._duty.record_report(now_ms())
+            return
         applied = [item for item in message.objects if self._node.apply_object(item)]
         self._expect_changes(applied)
         if any(item.kind == HOSTS for item in applied):
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -256,6 +256,11 @@
     kinds: tuple = ()
 
 
+# `Objects.since` of the report of a check that found nothing. Older releases read it as
+# a push without objects.
+CHECK_REPORT = -2
+
+
 class Objects(NamedTuple):
     """Store objects that changed between two revisions.
 
