Show that odd entries of databases cost only themselves

Each of 27 odd entries is now put beside the others under a running fleet: a database that begins to leave afterwards is known at every host within 4 s, statements run, no task fails, and one line names the entry.

--- a/tests/test_fleet_foreign_entries.py
+++ b/tests/test_fleet_foreign_entries.py
@@ -17,6 +17,20 @@
     b'"db_role": "replica", "slots": %s}'
 )
 VALUE_BYTES = 1_048_576
+
+
+def odd_address(address):
+    """Return an entry that could be used but for its address."""
+    return {
+        "service": "svc",
+        "address": address,
+        "zone": "a",
+        "state": "ready",
+        "db_role": "replica",
+        "slots": 3,
+    }
+
+
 NAMED_VALUES = {
     "deep": RawValue(ENTRY % (b"[" * 100_000 + b"]" * 100_000)),
     "nested": RawValue(ENTRY % (b"[" * 400 + b"]" * 400)),
@@ -24,6 +38,21 @@
     "encoding": RawValue(ENTRY % b'"\xff\xfe"'),
     "garbage": RawValue(b"\x80\x81 unquoted"),
     "control": RawValue(ENTRY % b'"\x00"'),
+    "infinite": RawValue(ENTRY % b"1e999"),
+    "not a number": RawValue(ENTRY % b"NaN"),
+    "negative": RawValue(ENTRY % b"-1"),
+    "fraction": RawValue(ENTRY % b"2.5"),
+    "too many": RawValue(ENTRY % b"9223372036854775808"),
+    "born late": RawValue(ENTRY % b'3, "born": 9223372036854775808'),
+    "born odd": RawValue(ENTRY % b'3, "born": 1e400'),
+    "port too high": odd_address("127.0.0.1:99999"),
+    "port of digits": odd_address("127.0.0.1:" + "9" * 400),
+    "port zero": odd_address("127.0.0.1:0"),
+    "port negative": odd_address("127.0.0.1:-1"),
+    "port foreign": odd_address("127.0.0.1:\u0661\u0662"),
+    "port missing": odd_address("127.0.0.1"),
+    "host too high": odd_address("256.0.0.1:3306"),
+    "host unknown": odd_address("nowhere:3306"),
     "largest": RawValue(ENTRY % (b'"' + b"x" * (VALUE_BYTES - 200) + b'"')),
     "missing": {"service": "svc"},
     "type": {"service": 5, "address": [], "zone": None, "state": {}, "slots": "3"},
@@ -102,6 +131,30 @@
                 await self.check_served(world)
                 self.check_reported_once(world, kind)
 
+    # Guards against processes that end, or that stop following the list of databases,
+    # since another program left one odd entry in it.
+    @in_loop
+    async def test_running_processes_follow_databases_beside_each_odd_entry(self):
+        for name, value in NAMED_VALUES.items():
+            async with running_world() as world:
+                processes = [member.process for member in world.members]
+                world.platform.put("servers", name, value)
+                database = world.group.databases["d2"]
+                database.is_leaving = True
+                world.register(database)
+                await world.wait_until(
+                    lambda: all(  # noqa: B023
+                        process.node.catalog.find("d2").is_leaving
+                        for process in processes  # noqa: B023
+                    ),
+                    4,
+                )
+                await self.check_served(world)
+                for member in world.members:
+                    self.assertEqual([], member.log.events("task_failed"), name)
+                    reported = member.log.events("object_unreadable")
+                    self.assertEqual([name], [event["name"] for event in reported])
+
     @in_loop
     async def test_watch_brings_other_changes_beside_an_unreadable_one(self):
         async with running_world() as world:
