Take an entry or a rumor for a host only if all its fields can be used

What callers saw: with one more entry among those of the hosts, {"address": "nowhere", ...}, every session at every host was cut without an answer, and again after a start of all. With a port of 99,999 the entry stayed among the live hosts, since calls to it failed with OverflowError.

Cause: a host was taken from three fields that were texts; whoever connected split and converted the address, and took only OSError for a host that is not there. Rumors bring addresses the same way.

Change: core/field_checks.py checks single fields, core/host_checks.py the fields of a host. Both places where a host is decoded use it, the entry and the rumor; what fails is left out, named in one log line a version and counted.

--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 
 from bronzescale_core.exceptions import UnreadableGroupError
-from bronzescale_core.partial_json import describe_unreadable, is_encodable
+from bronzescale_core.field_checks import is_encodable
+from bronzescale_core.partial_json import describe_unreadable
 from bronzescale_core.positions import TermStart
 
 
--- a/packages/bronzescale-core/src/bronzescale_core/partial_json.py
+++ b/packages/bronzescale-core/src/bronzescale_core/partial_json.py
@@ -137,22 +137,3 @@
         if not level:
             return value
     return unreadable_part(f"it is nested over {MAX_VALUE_DEPTH} levels deep")
-
-
-def is_encodable(text):
-    """Return whether a text can be sent: JSON may hold halves of surrogate pairs.
-
-    Parameters
-    ----------
-    text : str
-        The text.
-
-    Returns
-    -------
-    bool
-    """
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
--- a/packages/bronzescale-core/tests/test_partial_json.py
+++ b/packages/bronzescale-core/tests/test_partial_json.py
@@ -8,11 +8,11 @@
 
 from bronzescale_core import partial_json
 from bronzescale_core.exceptions import UnreadableGroupError
+from bronzescale_core.field_checks import is_encodable
 from bronzescale_core.groups import GroupState, dump_group, load_group
 from bronzescale_core.partial_json import (
     MAX_VALUE_DEPTH,
     describe_unreadable,
-    is_encodable,
     limit_depth,
     load_readable_parts,
 )
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -15,12 +15,13 @@
 
 from bronzescale_core.check_duty import CheckDuty, rank_watchers
 from bronzescale_core.exceptions import BronzescaleError
+from bronzescale_core.host_checks import find_host_problem
 from bronzescale_core.membership import (
     HEARTBEAT_INTERVAL_MS,
     HEARTBEAT_TIMEOUT_MS,
     Rumor,
 )
-from bronzescale_core.partial_json import describe_unreadable, is_encodable
+from bronzescale_core.partial_json import describe_unreadable
 from bronzescale_core.pulls import PullPlanner
 from bronzescale_core.rendezvous import Node
 from bronzescale_core.watch_doubts import WatchDoubts
@@ -440,9 +441,11 @@
     def _load_host(self, item):
         value = item.value if isinstance(item.value, dict) else {}
         fields = [value.get(key) for key in ("address", "zone", "region")]
-        if all(isinstance(text, str) and is_encodable(text) for text in fields):
-            return Node(item.name, *fields)
-        reason = describe_unreadable(value) or "address, zone or region is no text"
+        node = Node(item.name, *fields)
+        problem = find_host_problem(node)
+        if problem is None:
+            return node
+        reason = describe_unreadable(value) or problem
         self._node.report_unreadable(item.kind, item.name, item.version, reason)
         return None
 
@@ -589,6 +592,8 @@
         Pull the objects of each kind whose digest differs from the sender's.
         """
         membership = self._node.membership
+        for name, incarnation, reason in heartbeat.unreadable:
+            self._node.report_unreadable("rumor", name, incarnation, reason)
         membership.record_heartbeat(
             heartbeat.node, heartbeat.incarnation, heartbeat.status, heartbeat.rumors
         )
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/metrics.py
@@ -68,6 +68,12 @@
             ["method"],
             registry=registry,
         )
+        self._unreadable = Counter(
+            "bronzescale_unreadable_objects",
+            "Objects and rumors that were left out, once for each version.",
+            ["kind"],
+            registry=registry,
+        )
         self._relayed_reads = Counter(
             "bronzescale_relayed_reads",
             "Reads of group states that a peer made because the store did not answer.",
@@ -168,6 +174,10 @@
         """Count a call to the platform's store."""
         self._store_calls.labels(method).inc()
 
+    def count_unreadable(self, kind):
+        """Count an object or a rumor that is not used."""
+        self._unreadable.labels(kind).inc()
+
     def count_relayed_read(self):
         """Count a group state that a peer read from the store for this node."""
         self._relayed_reads.inc()
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -326,6 +326,7 @@
         if len(self._reported_versions) >= MAX_REPORTED_OBJECTS:
             self._reported_versions.clear()
         self._reported_versions[(kind, name)] = version
+        self.metrics.count_unreadable(kind)
         self.log.log_state_change(
             "object_unreadable",
             kind=kind,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -9,6 +9,13 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from bronzescale_core.field_checks import (
+    is_label,
+    is_whole,
+    require,
+    require_whole,
+)
+from bronzescale_core.host_checks import MAX_INCARNATION, find_host_problem
 from bronzescale_core.membership import Rumor, Status
 from bronzescale_core.objects import StoreObject
 from bronzescale_core.partial_json import limit_depth, unreadable_part
@@ -22,6 +29,7 @@
     StatementKind,
     StatementRequest,
 )
+from bronzescale_core.store_era import DIGEST_MASK
 from bronzescale_core.work import Outcome, Reach, Shape, Work, WorkAnswer, WorkStep
 from bronzescale_proxy.thrift_gen import ttypes as t
 
@@ -36,6 +44,9 @@
 # A step crosses the wire as its index, so the order of `WorkStep` is part of the
 # protocol.
 _STEPS = tuple(WorkStep)
+_STATUSES = frozenset(Status)
+# Characters of a name that a log line shows.
+MAX_SHOWN_NAME = 80
 _PROTOCOL = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_FRAME_BYTES, container_length_limit=10_000_000
 )
@@ -58,6 +69,8 @@
         Statuses of other nodes to disseminate.
     digests : tuple of int
         Digest of the sender's objects of each kind; empty if it sends none.
+    unreadable : tuple of UnreadableRumor
+        Rumors that were left out when the heartbeat was decoded.
     """
 
     node: str
@@ -66,6 +79,15 @@
     revision: int
     rumors: list
     digests: tuple = ()
+    unreadable: tuple = ()
+
+
+class UnreadableRumor(NamedTuple):
+    """What can be shown of a rumor that is not used, and why it is not."""
+
+    name: str
+    incarnation: int
+    reason: str
 
 
 class Hello(NamedTuple):
@@ -365,6 +387,7 @@
 
 @to_body.register
 def _(message: Heartbeat, now_ms):
+    # `unreadable` is what this process left out; it is not sent on.
     rumors = [t.WireRumor(_to_wire_node(r.node), int(r.status)) for r in message.rumors]
     heartbeat = t.WireHeartbeat(
         message.node,
@@ -616,14 +639,31 @@
 
 
 def _decode_heartbeat(value, now_ms):
-    rumors = [Rumor(_decode_node(r.node), Status(r.status)) for r in value.rumors]
+    rumors = []
+    unreadable = []
+    for rumor in value.rumors:
+        node = _decode_node(rumor.node)
+        problem = find_host_problem(node)
+        if problem is None and rumor.status not in _STATUSES:
+            problem = f"its status is {rumor.status!r}"
+        if problem is None:
+            rumors.append(Rumor(node, Status(rumor.status)))
+        else:
+            name, incarnation = ascii(node.name)[:MAX_SHOWN_NAME], node.incarnation
+            unreadable.append(UnreadableRumor(name, incarnation or 0, problem))
+    digests = tuple(value.digests or ())
+    require(is_label(value.node), "the sender", value.node)
+    require(
+        all(is_whole(digest, 0, DIGEST_MASK) for digest in digests), "a digest", digests
+    )
     return Heartbeat(
         value.node,
-        value.incarnation,
+        require_whole("the incarnation", value.incarnation, 0, MAX_INCARNATION),
         Status(value.status),
         value.revision,
         rumors,
-        tuple(value.digests or ()),
+        digests,
+        tuple(unreadable),
     )
 
 
