Tell a process that starts which hosts are down

A process that starts finds each listed host alive, also one that is gone for good. Heartbeats go to four hosts, and the rumor about a lost host has long ended, so it kept its ranks there (as owner, lessor, watcher) until its own requests failed. Now the answer to the first heartbeat of a process names the hosts that are down, 64 at most.

Ways weighed: hosts rank only once they were heard (a start of all would wait for heartbeats to reach every host); one more heartbeat a second to hosts that were not heard (a quarter more heartbeats for 80 s after each restart at 80 hosts); this, one answer a start.

Evidence: test_host_that_starts_learns_which_hosts_are_down failed on the code before (1 of 1) and passes; 6 of 6 tests of the file.

--- a/packages/bronzescale-core/src/bronzescale_core/membership.py
+++ b/packages/bronzescale-core/src/bronzescale_core/membership.py
@@ -16,6 +16,9 @@
 MISSED_HEARTBEATS_UNTIL_DOWN = 2
 SENDS_PER_RUMOR = 12
 MAX_RUMORS_PER_HEARTBEAT = 8
+# Hosts that are down of which a process that starts is told. Two fail on an ordinary
+# day, and their entries stay.
+MAX_DOWN_RUMORS = 64
 
 
 class Status(IntEnum):
@@ -201,6 +204,23 @@
                 self._rumors[name] = (rumor, sends_left - 1)
         return [rumor for _, (rumor, _) in chosen]
 
+    def has_restarted(self, name, incarnation):
+        """Return whether a process is newer than the one that is known of its node."""
+        member = self._members.get(name)
+        return member is None or member.node.incarnation < incarnation
+
+    def down_rumors(self):
+        """Return the nodes that are down, for a process that starts.
+
+        It finds them on the platform's host list, and the rumors about them have ended.
+
+        Returns
+        -------
+        list of Rumor
+        """
+        down = [m for m in self._members.values() if m.status is Status.DOWN]
+        return [Rumor(m.node, m.status) for m in down[:MAX_DOWN_RUMORS]]
+
     def record_heartbeat(self, name, incarnation, status, rumors):
         """Record a heartbeat or the answer to one.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -582,8 +582,12 @@
 
     async def answer_heartbeat(self, heartbeat, channel):
         """Answer a heartbeat and apply it."""
-        is_new = self._node.membership.find(heartbeat.node) is None
-        await channel.send(self._heartbeat(is_introduction=is_new))
+        membership = self._node.membership
+        is_new = membership.find(heartbeat.node) is None
+        answer = self._heartbeat(is_introduction=is_new)
+        if membership.has_restarted(heartbeat.node, heartbeat.incarnation):
+            answer.rumors.extend(membership.down_rumors())
+        await channel.send(answer)
         await self.handle_heartbeat(heartbeat)
 
     async def handle_heartbeat(self, heartbeat):
--- a/tests/test_fleet_odd_hosts.py
+++ b/tests/test_fleet_odd_hosts.py
@@ -138,3 +138,27 @@
         async with running_world() as world:
             port = world.members[0].peer_port
             await self.check_taken_as_down(world, "double", f"127.0.0.1:{port}")
+
+    @in_loop
+    async def test_host_that_starts_learns_which_hosts_are_down(self):
+        async with running_world(nodes=9) as world:
+            put_host(world, "gone", f"127.0.0.1:{free_port()}")
+            await world.wait_until(
+                lambda: statuses(world, "gone") == [Status.DOWN] * 9, 2 * DOWN_WITHIN_S
+            )
+            # It sends no heartbeats to the host itself.
+            restarted = next(
+                member
+                for member in world.members
+                if all(
+                    node.name != "gone"
+                    for node in member.process.node.membership.heartbeat_targets()
+                )
+            )
+            # The rumors of the first minutes have ended.
+            for member in world.members:
+                member.process.node.membership.outgoing_rumors = list
+            await world.restart_member(restarted)
+            await world.wait_until(
+                lambda: statuses(world, "gone") == [Status.DOWN] * 9, DOWN_WITHIN_S
+            )
