Check every field of a peer's message where it is decoded

A frame that the codec could read became a message whatever its fields held: numbers below zero or at the end of 64 bits, missing texts, loads that are no number. They decided later on (permits, waits, positions, deadlines), or could not be sent on.

Change: wire_checks.check_message runs for each decoded message; one that fails is refused with its frame, the connection ends, and its request counts as unanswered. An error while a one-way message is handled no longer ends the connection, and so costs the requests in flight there nothing.

Evidence: 38 odd messages are refused, 17 ordinary ones taken, in test_wire_checks.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -43,6 +43,7 @@
     UPSTREAMS,
 )
 from bronzescale_proxy.fleet.supervision import SupervisedTasks
+from bronzescale_proxy.messages import CHECK_REPORT
 
 WATCHED_KINDS = (CONFIGURATION, UPSTREAMS, GROUPS, HOSTS)
 # Longest wait of a watch that the platform allows; shorter waits cost more calls.
@@ -386,7 +387,7 @@
 
     def _report_check(self):
         """Tell the other watchers that the store was asked for a new configuration."""
-        report = wire.Objects(wire.CHECK_REPORT, -1, [])
+        report = wire.Objects(CHECK_REPORT, -1, [])
         for watcher in self._watchers:
             if watcher.node.name != self._node.settings.node:
                 self._node.tasks.start_soon(
@@ -653,7 +654,7 @@
 
     def apply_objects(self, message):
         """Apply objects that a peer sent."""
-        if message.since == wire.CHECK_REPORT:
+        if message.since == CHECK_REPORT:
             self._duty.record_report(now_ms())
             return
         applied = [item for item in message.objects if self._node.apply_object(item)]
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/peers.py
@@ -37,6 +37,10 @@
 # any cover a request that was received but not yet handled.
 DRAIN_POLL_INTERVAL_S = 0.05
 
+# Messages that nobody waits for: an error of theirs costs the connection's requests
+# nothing.
+_ONE_WAY_MESSAGES = (wire.Objects, wire.EndTransaction)
+
 
 class FrameStream:
     """Send and receive frames over one TCP stream, and count their bytes.
@@ -623,9 +627,11 @@
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
             logger.debug("peers: a peer disconnected before its request was answered.")
         except Exception:
-            # The peer learns from the broken connection that the outcome is unknown.
             logger.exception("peers: a request of a peer failed unexpectedly.")
-            await self._frames.aclose()
+            if not isinstance(message, _ONE_WAY_MESSAGES):
+                # The peer learns from the broken connection that the outcome is
+                # unknown.
+                await self._frames.aclose()
         finally:
             self._channels.pop(channel.request_id, None)
 
--- a/packages/bronzescale-proxy/tests/test_wire_checks.py
+++ b/packages/bronzescale-proxy/tests/test_wire_checks.py
@@ -3,8 +3,12 @@
 import testtools
 
 from bronzescale_core.membership import Rumor, Status
+from bronzescale_core.objects import StoreObject
+from bronzescale_core.positions import Position
 from bronzescale_core.rendezvous import Node
+from bronzescale_core.work import Outcome, Reach, Work, WorkAnswer, WorkStep
 from bronzescale_proxy import wire
+from bronzescale_proxy.messages import CHECK_REPORT
 
 HOST = Node("n1", "10.0.0.1:7440", "a", "north", 5)
 ODD_HOSTS = (
@@ -40,3 +44,90 @@
         )
         self.assertEqual([], heartbeat.rumors)
         self.assertEqual("'n1'", heartbeat.unreadable[0].name)
+
+
+WORK = Work(
+    service="s",
+    upstream="d1",
+    step=WorkStep.SINGLE,
+    request_id="r1",
+    text="READ x",
+    is_write=False,
+    is_read_only=False,
+    deadline_ms=800,
+)
+ANSWER = WorkAnswer(Outcome.DONE, Reach.ANSWERED, "", ("row",), "sig")
+GRANT = wire.PermitReply(3, 300, 20, True, 15, 77, 12)
+REQUEST = wire.PermitRequest("c1", 3, 1, 12, 2, "n1", 77, True, True)
+MESSAGES = (
+    WORK,
+    ANSWER,
+    GRANT,
+    REQUEST,
+    wire.Heartbeat("n1", 5, Status.ALIVE, 0, [Rumor(HOST, Status.DOWN)], (1, 2)),
+    wire.Objects(-1, -1, [StoreObject("hosts", "n1", 7, {"address": "x"})]),
+    wire.Objects(CHECK_REPORT, -1, []),
+    wire.ObjectsRequest(0, ("hosts",)),
+    wire.EvidenceRequest("s", 3),
+    wire.EvidenceReply("n1", "a", 3, "down"),
+    wire.HeadRequest("", 0),
+    wire.HeadReply(Position(3, 7), ""),
+    wire.Hello("n1", 5),
+    wire.StateRequest("s"),
+    wire.StateReply(True, StoreObject("groups", "s", 7, {"term": 2}), 1, ""),
+    wire.EndTransaction("d1", 2**63 - 1),
+    wire.Credit(3),
+)
+ODD_MESSAGES = (
+    WORK._replace(service=None),
+    WORK._replace(text=None),
+    WORK._replace(values=(("a", None),)),
+    WORK._replace(floor=Position(-1, 0)),
+    WORK._replace(floor=Position(0, 2**63 - 1)),
+    WORK._replace(max_age_ms=-2),
+    WORK._replace(transaction_id=-1),
+    WORK._replace(deadline_ms=2**62),
+    ANSWER._replace(position=Position(2**63 - 1, 0)),
+    ANSWER._replace(load=float("nan")),
+    ANSWER._replace(load=float("inf")),
+    ANSWER._replace(load=-1.0),
+    ANSWER._replace(retry_after_ms=-1),
+    ANSWER._replace(waits_ms=(5, -1)),
+    ANSWER._replace(waits_ms=(2**31 - 1,)),
+    ANSWER._replace(ejected_until_ms=2**30),
+    GRANT._replace(permits=-1),
+    GRANT._replace(permits=2**31 - 1),
+    GRANT._replace(valid_until_ms=2**31 - 1),
+    GRANT._replace(wait_ms=-5),
+    REQUEST._replace(wanted=-1),
+    REQUEST._replace(customer=""),
+    REQUEST._replace(unused=-3),
+    wire.Heartbeat("", 5, Status.ALIVE, 0, [], ()),
+    wire.Heartbeat("n1", -5, Status.ALIVE, 0, [], ()),
+    wire.Heartbeat("n1", 2**63 - 1, Status.ALIVE, 0, [], ()),
+    wire.Heartbeat("n1", 5, Status.ALIVE, 0, [], (-1, 2)),
+    wire.Objects(-1, -1, [StoreObject("hosts", None, 7, {})]),
+    wire.Objects(-1, -1, [StoreObject("hosts", "n1", -7, {})]),
+    wire.Objects(-9, -1, []),
+    wire.EvidenceRequest("s", -3),
+    wire.EvidenceReply(None, "a", 3, "down"),
+    wire.HeadReply(Position(3, -7), ""),
+    wire.HeadRequest("s", 2**40),
+    wire.Hello("n1", -1),
+    wire.StateReply(True, StoreObject("groups", None, 7, {}), 1, ""),
+    wire.EndTransaction(None, 1),
+    wire.Credit(-1),
+)
+
+
+class FieldTest(testtools.TestCase):
+    # Guards against odd numbers of one peer that decide something at another one.
+    def test_odd_messages_are_refused(self):
+        for message in ODD_MESSAGES:
+            payload = wire.encode(1, message, 0)[wire.HEADER.size :]
+            with self.assertRaises((ValueError, TypeError), msg=message):
+                wire.decode(payload, 0)
+
+    def test_ordinary_messages_are_taken(self):
+        for message in MESSAGES:
+            self.assertEqual(message, decode(message))
