Check the ranges of states, configurations, positions and seeds where they are decoded

A group's state may have held terms of any size or kind, which then had no place in a frame, or the name of another service, whose state it replaced. Positions and tokens took numbers of more than 64 bits, and digits that int() reads but the wire does not mean. A seed that is no address failed a task at each heartbeat.

Generated input goes through each decoder and on into the code that uses the value; it found one more fault on its way, an empty list as a host's second address.

--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -4,7 +4,14 @@
 from typing import NamedTuple
 
 from bronzescale_core.exceptions import UnreadableGroupError
-from bronzescale_core.field_checks import is_encodable
+from bronzescale_core.field_checks import (
+    MAX_WHOLE,
+    is_label,
+    require,
+    require_text,
+    require_whole,
+)
+from bronzescale_core.host_checks import MAX_INCARNATION
 from bronzescale_core.partial_json import describe_unreadable
 from bronzescale_core.positions import TermStart
 
@@ -150,7 +157,7 @@
         raise UnreadableGroupError(f"the group's state cannot be read: {unreadable}")
     try:
         return _load_group(document, version)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise UnreadableGroupError(
             f"the group's state cannot be read: {error!r}; write it again"
         ) from error
@@ -158,25 +165,32 @@
 
 def _load_group(document, version):
     starts = tuple(TermStart(*start) for start in document.get("term_starts", ()))
-    if not isinstance(document["term"], int):
-        raise TypeError("the term is not a whole number")
+    for start in starts:
+        require_whole("the term of a start", start.term)
+        require_whole("the offset of a start", start.offset)
     for key in ("service", "primary"):
-        if not isinstance(document[key], str) or not is_encodable(document[key]):
-            raise TypeError(f"{key} is not a text")
+        require(is_label(document[key]), key, document[key])
+
+    def text(key):
+        return require_text(key, document.get(key, ""))
+
+    def whole(key, high=MAX_WHOLE):
+        return require_whole(key, document.get(key, 0), 0, high)
+
     return GroupState(
         service=document["service"],
-        term=document["term"],
+        term=require_whole("the term", document["term"]),
         primary=document["primary"],
         phase=Phase(document["phase"]),
-        writer=document.get("writer", ""),
-        nonce=document.get("nonce", ""),
-        reason=document.get("reason", ""),
+        writer=text("writer"),
+        nonce=text("nonce"),
+        reason=text("reason"),
         term_starts=starts,
         version=version,
-        planned_primary=document.get("planned_primary", ""),
-        fenced_term=document.get("fenced_term", 0),
-        era=document.get("era", 0),
-        writer_incarnation=document.get("writer_incarnation", 0),
+        planned_primary=text("planned_primary"),
+        fenced_term=whole("fenced_term"),
+        era=whole("era"),
+        writer_incarnation=whole("writer_incarnation", MAX_INCARNATION),
     )
 
 
--- a/packages/bronzescale-core/src/bronzescale_core/host_checks.py
+++ b/packages/bronzescale-core/src/bronzescale_core/host_checks.py
@@ -28,6 +28,6 @@
         return "its region is not a printable text"
     if not is_whole(node.incarnation, 0, MAX_INCARNATION):
         return f"its incarnation is not a whole number from 0 to {MAX_INCARNATION}"
-    if node.admin_address and not is_address(node.admin_address):
+    if node.admin_address != "" and not is_address(node.admin_address):
         return "its admin address is not an IPv4 address with a port"
     return None
--- a/packages/bronzescale-core/src/bronzescale_core/positions.py
+++ b/packages/bronzescale-core/src/bronzescale_core/positions.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from bronzescale_core.exceptions import InvalidTokenError
+from bronzescale_core.field_checks import parse_whole
 
 TOKEN_PREFIX = "bz1"
 MAX_TERM_STARTS = 16
@@ -161,9 +162,10 @@
     """
     parts = text.split(":")
     has_valid_form = len(parts) == 4 and parts[0] == TOKEN_PREFIX and parts[1]
-    if not has_valid_form or not (parts[2].isdecimal() and parts[3].isdecimal()):
+    numbers = [parse_whole(part) for part in parts[2:4]]
+    if not has_valid_form or None in numbers:
         raise InvalidTokenError(
             f"{text[:80]!r} is not a session token; pass the value of "
             "@bronzescale_token unchanged, or an empty string for a new session"
         )
-    return SessionToken(parts[1], Position(int(parts[2]), int(parts[3])))
+    return SessionToken(parts[1], Position(*numbers))
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/checks.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/checks.py
@@ -3,6 +3,7 @@
 Each message has a stable number and a hint that names the remedy.
 """
 
+from bronzescale_core.field_checks import is_address
 from bronzescale_proxy.checks import CheckMessage
 from bronzescale_proxy.exceptions import SettingsError
 
@@ -49,12 +50,11 @@
 def _check_addresses(settings):
     for field in _ADDRESS_FIELDS:
         value = getattr(settings, field)
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        if not is_address(value):
             yield CheckMessage(
                 "bronzescale.E102",
-                f"{field} {value!r} is not a host and a port from 1 to 65535.",
-                f"Set {field} to a host and a port, such as 10.0.0.1:7440.",
+                f"{field} {value!r} is not an IPv4 address and a port from 1 to 65535.",
+                f"Set {field} to an address and a port, such as 10.0.0.1:7440.",
             )
 
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/dissemination.py
@@ -15,6 +15,7 @@
 
 from bronzescale_core.check_duty import CheckDuty, rank_watchers
 from bronzescale_core.exceptions import BronzescaleError
+from bronzescale_core.field_checks import is_address
 from bronzescale_core.host_checks import find_host_problem
 from bronzescale_core.membership import (
     HEARTBEAT_INTERVAL_MS,
@@ -496,7 +497,12 @@
     def _set_seeds(self):
         """Keep the configured seed addresses except this node's own."""
         own = self._node.membership.own
-        self._seeds = [s for s in self._node.settings.seeds if s != own.address]
+        self._seeds = []
+        for seed in self._node.settings.seeds:
+            if not is_address(seed):
+                self._node.log.log_state_change("seed_unusable", address=seed)
+            elif seed != own.address:
+                self._seeds.append(seed)
         if not self._node.settings.is_first_start:
             self._unasked_seeds.update(self._seeds)
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -472,6 +472,10 @@
         except UnreadableGroupError as error:
             self.report_unreadable(item.kind, item.name, item.version, str(error))
             return
+        if state.service != item.name:
+            reason = "it is the state of a service of another name"
+            self.report_unreadable(item.kind, item.name, item.version, reason)
+            return
         self._group_version += 1
         known = self._group_states.get(state.service)
         state = reconcile_group(known, state, self.store.era.number)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -131,7 +131,7 @@
         value.zone,
         value.region,
         value.incarnation,
-        value.admin_address,
+        value.admin_address or "",
     )
 
 
