Teach the soak odd entries of every kind, a checker that is cut off, and unexpected errors

The soak's foreign entries were those of databases only, and unreadable ones only. It writes odd entries of hosts and of groups, too, that can be read and not used; cuts off the host that checks the watches in every second run while a route is dropped; and takes a task that failed unexpectedly, or a call that did, for a violation, whatever callers saw.

--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -25,6 +25,7 @@
 import cyclopts
 from cyclopts import Parameter
 
+from bronzescale_core.check_duty import rank_watchers
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_standins.fleet.callers import LineCaller
 from bronzescale_standins.fleet.soak_callers import SoakCaller
@@ -42,6 +43,10 @@
 # Bounds of the smallest deployments on the users' platform.
 STABILITY_S = 5.0
 CONFIGURATION_IN_FORCE_S = 4.0
+# Two heartbeats that are not answered, and one more.
+HEARTBEATS_S = 3.0
+# What a process writes about an error that no code expected.
+UNEXPECTED_ERRORS = (b'"task_failed"', b"failed unexpectedly")
 # How long statements run, usually and while a process is stopped.
 WORK_S = 0.002
 STOP_WORK_S = 0.15
@@ -199,6 +204,7 @@
                     await self._restart_under_transactions(),
                     *await self._stop_one_under_load(),
                     await self._drop_route_after_lost_watches(),
+                    self._find_unexpected_errors(),
                 ]
                 tasks.cancel_scope.cancel()
         violations = check(self.operations, self.group, self.world.customer_versions)
@@ -208,12 +214,14 @@
 
     async def _lose_all_beside_foreign_entries(self):
         """Kill every process while the store holds entries that cannot be read."""
-        names = put_foreign_entries(self.platform, self.rng)
+        keys = put_foreign_entries(self.platform, self.rng)
         for member in self.members:
             member.kill()
         violation = await self._wait_until_serving("a start beside foreign entries")
-        for name in names:
-            self.platform.delete("servers", name)
+        # Long enough for heartbeats to every host that stands in the store.
+        await anyio.sleep(HEARTBEATS_S)
+        for kind, name in keys:
+            self.platform.delete(kind, name)
         return violation
 
     async def _restart_under_transactions(self):
@@ -238,11 +246,13 @@
     def _owner_of_primary(self):
         """Return the member that holds the connections to the primary."""
         primary = self.group.primary() or next(iter(self.group.databases.values()))
-        nodes = [Node(m.name, m.host, m.zone, ZONES[m.zone]) for m in self.members]
         region = ZONES[primary.zone]
-        (first,) = rank_nodes(primary.instance, nodes, primary.zone, region, 1)
+        (first,) = rank_nodes(primary.instance, self._nodes(), primary.zone, region, 1)
         return next(member for member in self.members if member.name == first.name)
 
+    def _nodes(self):
+        return [Node(m.name, m.host, m.zone, ZONES[m.zone]) for m in self.members]
+
     async def _stop_one_under_load(self):
         """Stop a process whose callers go on until it is gone; nothing is cut off."""
         for database in self.group.databases.values():
@@ -274,7 +284,14 @@
         return [*cut_off, await self._wait_until_serving("a planned stop")]
 
     async def _drop_route_after_lost_watches(self):
-        """Lose an answer of every watch; the next configuration must come in force."""
+        """Lose an answer of every watch; the next configuration must come in force.
+
+        In every second run the host that checks the watches is cut off from the store.
+        """
+        checker = rank_watchers(self._nodes(), 2)[0].node.name
+        if self.rng.random() < 0.5:
+            await anyio.sleep(STABILITY_S)
+            self.links.cut({frozenset((checker, "store"))})
         lost = self.platform.faults.kinds_with_lost_watches
         lost.add("config")
         self.world.configure()
@@ -284,12 +301,21 @@
         await anyio.sleep(CONFIGURATION_IN_FORCE_S)
         dropped = ROUTES[2]["host"]
         using = [m.name for m in self.members if await self._has_route(m, dropped)]
+        self.links.cut(set())
         if using:
             return Violation(
                 "configuration", f"{using} use the dropped route {dropped}"
             )
         return None
 
+    def _find_unexpected_errors(self):
+        """Return a violation if a process logged an error that no code expected."""
+        for path in sorted(self.folder.glob("*.log")):
+            for line in path.read_bytes().splitlines():
+                if any(mark in line for mark in UNEXPECTED_ERRORS):
+                    return Violation("unexpected error", f"{path.stem}: {line[:300]}")
+        return None
+
     async def _has_route(self, member, database):
         try:
             caller = await LineCaller.connect(
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_faults.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak_faults.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from bronzescale_core.groups import GroupState, dump_group
 from bronzescale_standins.fleet.objects import RawValue
 
 
@@ -169,25 +170,39 @@
 
 
 async def write_foreign_entries(soak, rng):
-    """Let another program write objects that cannot be read, and delete them later."""
-    names = put_foreign_entries(soak.platform, rng)
+    """Let another program write objects that cannot be used, and delete them later."""
+    keys = put_foreign_entries(soak.platform, rng)
     await anyio.sleep(rng.uniform(0.5, 4))
-    for name in names:
-        soak.platform.delete("servers", name)
+    for kind, name in keys:
+        soak.platform.delete(kind, name)
 
 
 def put_foreign_entries(platform, rng):
-    """Write unreadable entries of databases; return their names."""
-    values = {
+    """Write entries of each kind that cannot be read or used; return their keys."""
+    unreadable = {
         "deep": RawValue(b'{"slots": ' + b"[" * 2_000 + b"]" * 2_000 + b"}"),
         "digits": RawValue(b'{"slots": ' + b"9" * 5_000 + b"}"),
         "encoding": RawValue(b'{"service": "\xff\xfe"}'),
         "type": {"service": 5, "slots": []},
     }
-    names = rng.sample(sorted(values), 2)
-    for name in names:
-        platform.put("servers", name, values[name])
-    return names
+    host = {"zone": rng.choice("abcz"), "region": "north"}
+    hosts = {
+        "no-address": {**host, "address": "nowhere"},
+        "port": {**host, "address": "127.0.0.1:99999"},
+        "gone": {**host, "address": "127.0.0.1:1"},
+    }
+    group = dump_group(GroupState("svc", 2**40, "d9"))
+    groups = {"other": group, "term": {**group, "service": "term", "term": 2**70}}
+    keys = []
+    for kind, values in (
+        ("servers", unreadable),
+        ("bronzescale-hosts", {**unreadable, **hosts}),
+        ("bronzescale-groups", {**unreadable, **groups}),
+    ):
+        for name in rng.sample(sorted(values), 2):
+            platform.put(kind, name, values[name])
+            keys.append((kind, name))
+    return keys
 
 
 async def store_forgets(soak, rng):
