Keep a stand-in replica from going back to the log of a replaced primary

Traced in the history: the former primary, back after a crash, stepped down a second later and copied its log of term 3 to replicas that follow term 5 already, for one poll of 50 ms. The product had sent the read with the right floor; the stand-in checks it before it waits for a slot.

Cause: a replica refused older primaries by the term that it is paused for, not by its own term. Ruled out: the session's floor and the owner's check.

--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/database.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/database.py
@@ -254,7 +254,7 @@
 
     def _takes_from(self, primary):
         """Return whether it replicates from a primary."""
-        is_fenced = self.paused_term > primary.term
+        is_fenced = max(self.paused_term, self.term) > primary.term
         is_blocked = self.is_primary or self.is_replication_stopped or is_fenced
         return self.is_running and not is_blocked
 
