--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -8,6 +8,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from bronzescale_core.field_checks import MAX_TIME_MS
 from bronzescale_core.host_checks import find_host_problem
 from bronzescale_core.membership import Rumor, Status
 from bronzescale_core.objects import StoreObject
@@ -317,12 +318,12 @@
         term=message.position.term,
         offset=message.position.offset,
         transaction_id=message.transaction_id,
-        retry_after_ms=message.retry_after_ms or None,
+        retry_after_ms=min(message.retry_after_ms, MAX_TIME_MS) or None,
         load=message.load,
         is_unreachable=message.is_unreachable or None,
-        service_ms=int(message.service_ms) or None,
+        service_ms=min(int(message.service_ms), MAX_TIME_MS) or None,
         ejected_for_ms=max(0, message.ejected_until_ms - now_ms) or None,
-        waits_ms=list(message.waits_ms) or None,
+        waits_ms=[min(wait_ms, MAX_TIME_MS) for wait_ms in message.waits_ms] or None,
     )
     return t.Body(answer=answer)
 
@@ -349,9 +350,9 @@
     reply = t.WirePermitReply(
         permits=message.permits,
         valid_ms=max(0, message.valid_until_ms - now_ms),
-        retry_after_ms=message.retry_after_ms,
+        retry_after_ms=min(message.retry_after_ms, MAX_TIME_MS),
         is_lessor=message.is_lessor,
-        wait_ms=message.wait_ms or None,
+        wait_ms=min(message.wait_ms, MAX_TIME_MS) or None,
         period=message.period or None,
         configuration_version=message.configuration_version,
         lessor=message.lessor or None,
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire_checks.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire_checks.py
@@ -127,7 +127,8 @@
 
 @check_message.register
 def _(message: messages.PermitReply, now_ms):
-    require_whole("the number of permits", message.permits, 0, MAX_PERMITS)
+    # A bucket that is handed over may have granted tokens in advance.
+    require_whole("the number of permits", message.permits, -MAX_PERMITS, MAX_PERMITS)
     for time_ms in (message.retry_after_ms, message.wait_ms):
         require_whole("a time", time_ms, 0, MAX_TIME_MS)
     _check_deadline(message.valid_until_ms, now_ms)
