--- a/packages/bronzescale-proxy/src/bronzescale_proxy/dissemination.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/dissemination.py
@@ -229,6 +229,8 @@
         heartbeat : Heartbeat
             Heartbeat of a peer.
         """
+        for rumor in heartbeat.unreadable:
+            logger.warning("spread: left out a rumor: %s.", rumor)
         membership = self._node.membership
         changed = membership.record_heartbeat(
             heartbeat.node, heartbeat.incarnation, heartbeat.status, heartbeat.rumors
