Let the soak restart an owner only once it serves again

Beside load 12 a process starts in over a second, so the next restart came before the last one had let it hold a transaction. The step waits now until the restarted owner serves; no check or bound changes.

--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -240,6 +240,10 @@
                 owner = self._owner_of_primary()
                 owner.kill()
                 owner.start()
+                # Until then it holds no transactions that could be confused.
+                with anyio.move_on_after(RECOVERY_TIMEOUT_S):
+                    while not await self._is_serving(owner):
+                        await anyio.sleep(0.1)
             tasks.cancel_scope.cancel()
         return await self._wait_until_serving("restarts under transactions")
 
