--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -281,6 +281,16 @@
         self.start_member(member)
         await self.wait_until_ready([member])
 
+    async def restart_all(self):
+        """Kill every node, then start all and wait until each is ready."""
+        for member in self.members:
+            member.kill()
+            await member.ended.wait()
+            member.process = None
+        for member in self.members:
+            self.start_member(member)
+        await self.wait_until_ready()
+
     async def wait_until_ready(self, members=None, timeout_s=10.0):
         """Wait until nodes are ready; raise `TimeoutError` after `timeout_s`."""
         with anyio.fail_after(timeout_s):
--- a/tests/test_fleet_limits_restart.py
+++ b/tests/test_fleet_limits_restart.py
@@ -12,13 +12,7 @@
     @in_loop
     async def test_lessor_grants_what_is_due_since_the_hosts_started(self):
         async with self.limited_world() as world:
-            for member in world.members:
-                member.kill()
-                await member.ended.wait()
-                member.process = None
-            for member in world.members:
-                world.start_member(member)
-            await world.wait_until_ready()
+            await world.restart_all()
             for member in world.members:
                 set_limit(member, LIMIT)
             await anyio.sleep(0.3)
--- a/tests/test_fleet_lost_watches.py
+++ b/tests/test_fleet_lost_watches.py
@@ -50,17 +50,21 @@
 
 
 class LostWatchTest(testtools.TestCase):
+    async def check_added_route_is_served(self, world):
+        """Add a route; every host must serve it in time."""
+        world.configure((*ROUTES, {**ROUTES[0], "host": "added"}))
+        await anyio.sleep(IN_FORCE_WITHIN_S)
+        for member in world.members:
+            caller = await member.caller("added")
+            self.assertEqual("DONE", (await caller.query("READ x")).code)
+
     # Guards against an added route that is refused long after its acknowledgement.
     @in_loop
     async def test_added_route_is_served_in_time_after_lost_answers(self):
         async with running_world() as world:
             await anyio.sleep(1.0)
             await blind_all_watches(world, "config")
-            world.configure((*ROUTES, {**ROUTES[0], "host": "added"}))
-            await anyio.sleep(IN_FORCE_WITHIN_S)
-            for member in world.members:
-                caller = await member.caller("added")
-                self.assertEqual("DONE", (await caller.query("READ x")).code)
+            await self.check_added_route_is_served(world)
 
     # The same while the host that checks the other hosts' watches is cut off.
     @in_loop
@@ -76,11 +80,7 @@
             self.assertEqual(1, len(checkers))
             await blind_all_watches(world, "config")
             links.cut({frozenset((checkers[0].name, "store"))})
-            world.configure((*ROUTES, {**ROUTES[0], "host": "added"}))
-            await anyio.sleep(IN_FORCE_WITHIN_S)
-            for member in world.members:
-                caller = await member.caller("added")
-                self.assertEqual("DONE", (await caller.query("READ x")).code)
+            await self.check_added_route_is_served(world)
 
     @in_loop
     async def test_change_after_lost_answers_is_in_force_in_time(self):
--- a/tests/test_fleet_odd_hosts.py
+++ b/tests/test_fleet_odd_hosts.py
@@ -58,16 +58,6 @@
     ]
 
 
-async def restart_all(world):
-    for member in world.members:
-        member.kill()
-        await member.ended.wait()
-        member.process = None
-    for member in world.members:
-        world.start_member(member)
-    await world.wait_until_ready()
-
-
 async def answer_http(stream):
     """Answer like a server of another protocol."""
     async with stream:
@@ -87,7 +77,7 @@
                 put_host(world, name, address)
                 await anyio.sleep(1.5)
                 await check_every_session_is_served(world)
-                await restart_all(world)
+                await world.restart_all()
                 await check_every_session_is_served(world)
                 for member in world.members:
                     self.assertEqual([], member.log.events("task_failed"), name)
