--- a/packages/bronzescale-core/src/bronzescale_core/check_duty.py
+++ b/packages/bronzescale-core/src/bronzescale_core/check_duty.py
@@ -11,7 +11,7 @@
 
 from typing import NamedTuple
 
-from bronzescale_core.rendezvous import rank_nodes, score
+from bronzescale_core.rendezvous import Node, rank_nodes, score
 
 
 class RankedWatcher(NamedTuple):
@@ -25,7 +25,7 @@
         Its rank among the watchers of its availability zone, from 0.
     """
 
-    node: object
+    node: Node
     zone_rank: int
 
 
