Test three checks that nothing brought about

Found on the last reading of the change: a list of the store that repeats its page, a group's state under another service's name, and a seed that is no address were checked, and no test met them (the soak writes the second). No product code changes.

--- a/tests/adapter/test_store_answers.py
+++ b/tests/adapter/test_store_answers.py
@@ -160,6 +160,29 @@
         self.assertEqual(5, revision_of(listing.version))
 
 
+class _RepeatingClient:
+    """Answer each page of a list with the same page."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def call(self, *arguments, **options):
+        self.calls += 1
+        if self.calls > 5:
+            raise AssertionError("the list is asked for without end")
+        item = {"meta": {"name": "a", "revision": 3}, "spec": {}}
+        document = {"items": [item], "has_more": True, "current_rev": 4}
+        return _HttpResponse(200, document)
+
+
+class RepeatedPageTest(testtools.TestCase):
+    # Guards against a list of the store that never ends.
+    def test_list_that_does_not_go_on_fails(self):
+        store = ObjectStore(_RepeatingClient(), None, StoreEra(lambda: 0))
+        with self.assertRaises(StoreError):
+            anyio.run(store.list, "hosts")
+
+
 class SettingsTextTest(testtools.TestCase):
     @run_examples
     @given(
--- a/tests/test_fleet_odd_hosts.py
+++ b/tests/test_fleet_odd_hosts.py
@@ -7,6 +7,7 @@
 import anyio
 import testtools
 
+from bronzescale_core.groups import GroupState, dump_group
 from bronzescale_core.membership import Status
 from bronzescale_standins.fleet.testing import in_loop
 from bronzescale_standins.fleet.world import free_port, running_world
@@ -152,3 +153,34 @@
             await world.wait_until(
                 lambda: statuses(world, "gone") == [Status.DOWN] * 9, DOWN_WITHIN_S
             )
+
+
+class OddNeighbourTest(testtools.TestCase):
+    # Guards against a state that replaces the one of a service of another name.
+    @in_loop
+    async def test_state_under_another_name_does_not_replace_a_group(self):
+        async with running_world() as world:
+            state = dump_group(GroupState("svc", 2**40, "d9"))
+            world.platform.put("bronzescale-groups", "other", state)
+            nodes = [member.process.node for member in world.members]
+            await world.wait_until(
+                lambda: all(m.log.events("object_unreadable") for m in world.members)
+            )
+            for node in nodes:
+                known = node.state("svc")
+                self.assertTrue(known is None or known.term < 2**40)
+            await check_every_session_is_served(world)
+
+    # Guards against a task that fails at each heartbeat since a seed is no address.
+    @in_loop
+    async def test_odd_seed_is_left_out_and_named(self):
+        async with running_world() as world:
+            seeds = (*world.seeds(), "nowhere", "127.0.0.1:99999")
+            world.seeds = lambda: seeds
+            (member, *_) = world.members
+            member.log.lines.clear()
+            await world.restart_member(member)
+            named = [fields["address"] for fields in member.log.events("seed_unusable")]
+            self.assertEqual(["nowhere", "127.0.0.1:99999"], named)
+            self.assertEqual([], member.log.events("task_failed"))
+            await check_every_session_is_served(world)
