Let the next host confirm a group's state while the owner is cut off

What callers saw: after the store returned from a copy, saves were refused (BUSY, 'not proven to lead') for as long as the owner of the primary was cut off from the store and one copy was silent. Without a return of the store another host served them.

Cause: only the owner of the primary wrote the group's state again after a return. While it is unconfirmed, no read of the store renews a lease, so every copy has to confirm it.

Change: hosts that may own the primary confirm in the order of their rank, a second apart; each renews the lease meanwhile, also if nobody uses it. What confirms is the same as before: every copy that is known, after lost claims have expired. Two that write at once name the same version, of which the store takes one.

Links of a world's nodes to the store moved from a test to the stand-in world, since two test files use them.

--- a/packages/bronzescale-core/src/bronzescale_core/store_era.py
+++ b/packages/bronzescale-core/src/bronzescale_core/store_era.py
@@ -22,6 +22,9 @@
 # No claim is written and no state of an older era is confirmed before every claim that
 # the store may have lost has expired.
 SETTLE_MS = CLAIM_TIMEOUT_MS + SETTLE_MARGIN_MS
+# How much longer each host waits than the one before it in rank. Covers a renewal of
+# the lease, a call to the store and the message that tells of its result.
+CONFIRMATION_STEP_MS = 1_000
 
 
 def make_version(era, revision):
@@ -161,6 +164,30 @@
         is_settled = self._clock_ms() >= self._learned_at_ms + SETTLE_MS
         return is_settled or self.has_confirmed(state)
 
+    def may_confirm(self, state, rank):
+        """Return whether it is a host's turn to confirm a group's state.
+
+        The first host in rank writes the state again once no lost claim can still be
+        acted on. It may be cut off from the store, so the next one follows if the state
+        is still not confirmed.
+
+        Parameters
+        ----------
+        state : GroupState or None
+            Known state of the group.
+        rank : int or None
+            Rank of the host among those that may own the primary, from 0; None if it
+            is none of them.
+
+        Returns
+        -------
+        bool
+        """
+        if rank is None or self.has_confirmed(state):
+            return False
+        due_ms = self._learned_at_ms + SETTLE_MS + rank * CONFIRMATION_STEP_MS
+        return self._clock_ms() >= due_ms
+
     def settled_at_ms(self):
         """Return when lost claims of older eras have expired."""
         return self._learned_at_ms + SETTLE_MS if self.number else 0
--- a/packages/bronzescale-core/tests/test_store_era.py
+++ b/packages/bronzescale-core/tests/test_store_era.py
@@ -6,6 +6,7 @@
 
 from bronzescale_core.groups import GroupState, Phase, dump_group, load_group
 from bronzescale_core.store_era import (
+    CONFIRMATION_STEP_MS,
     MAX_ERA,
     SETTLE_MS,
     StoreEra,
@@ -112,6 +113,19 @@
     def test_confirmed_state_may_be_claimed_at_once(self):
         self.assertTrue(self.era.may_claim(group(era=2)))
 
+    def test_next_host_in_rank_confirms_a_state_that_the_first_did_not(self):
+        state = group(era=1, at_era=2)
+        self.clock.now_ms += SETTLE_MS - 1
+        self.assertFalse(self.era.may_confirm(state, 0))
+        self.clock.now_ms += 1
+        self.assertTrue(self.era.may_confirm(state, 0))
+        self.assertFalse(self.era.may_confirm(state, 1))
+        self.clock.now_ms += CONFIRMATION_STEP_MS
+        self.assertTrue(self.era.may_confirm(state, 1))
+        self.assertFalse(self.era.may_confirm(state, 2))
+        self.assertFalse(self.era.may_confirm(state, None))
+        self.assertFalse(self.era.may_confirm(group(era=2), 1))
+
     def test_state_of_an_older_era_or_none_confirms_nothing(self):
         self.assertFalse(self.era.has_confirmed(group(era=1, at_era=2)))
         self.assertFalse(self.era.has_confirmed(None))
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -250,6 +250,8 @@
         self.metrics.set_store_era(new)
         # Databases register again, as after an outage.
         self.catalog.record_outage(now_ms())
+        for monitor in self._primary_monitors.values():
+            monitor.begin_confirming()
 
     def _apply_superseded(self, item, known):
         """Apply what an object still tells although the known one has its version.
@@ -676,6 +678,18 @@
         ranked = self.rank(instance)
         return bool(ranked) and ranked[0].name == self.settings.node
 
+    def owner_rank(self, instance):
+        """Return this node's rank among those that may own a database.
+
+        Returns
+        -------
+        int or None
+            From 0; None if this node may not own the database.
+        """
+        names = [node.name for node in self.rank(instance)]
+        own = self.settings.node
+        return names.index(own) if own in names else None
+
     def owners_of(self, instance):
         """Return the nodes to try for a database; None stands for this node.
 
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/primary_monitor.py
@@ -294,7 +294,7 @@
         while True:
             primary = self.primary
             is_used = now_ms() - self._used_at_ms < LEASE_IDLE_TIMEOUT_MS
-            if not (is_used or self._owns_primary):
+            if not (is_used or self._owns_primary or self._must_confirm()):
                 self._use_started = anyio.Event()
                 await self._use_started.wait()
                 continue
@@ -423,17 +423,29 @@
         elif self._successor[0] != leading[0]:
             self._successor = (leading[0], now_ms())
 
+    def _must_confirm(self):
+        """Return whether this node may have to write the state again."""
+        is_confirmed = self._node.store.era.has_confirmed(
+            self._node.state(self.service)
+        )
+        return not is_confirmed and self._node.owner_rank(self.primary) is not None
+
+    def begin_confirming(self):
+        """Renew the lease also while it isn't used, if the state must be confirmed."""
+        self._use_started.set()
+
     def _confirm_state(self, primary, term):
         """Write the state again if the store's own one is from an older era.
 
-        Only the owner of the primary does this, after the copies confirmed the term and
-        every lost claim has expired. Until then, reading the store renews no lease.
+        The owner of the primary does this, after the copies confirmed the term and
+        every lost claim has expired; if it cannot, the next host in rank does. Until
+        then, reading the store renews no lease.
         """
         era = self._node.store.era
         known = self._node.state(self.service)
-        if self._is_confirming or era.has_confirmed(known) or not era.may_claim(known):
-            return
-        if not self._owns_primary or not self._node.is_store_answering:
+        is_able = self._node.is_store_answering and not self._is_confirming
+        rank = self._node.owner_rank(primary)
+        if not is_able or not era.may_confirm(known, rank):
             return
         state = GroupState(
             service=self.service,
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -19,6 +19,7 @@
 from bronzescale_standins.fleet.callers import LineCaller
 from bronzescale_standins.fleet.database import Group
 from bronzescale_standins.fleet.objects import ObjectPlatform
+from bronzescale_standins.links import Forwarder, LinkTable
 
 ZONES = {"a": "north", "b": "north", "c": "south"}
 HEARTBEAT_INTERVAL_S = 0.2
@@ -291,6 +292,25 @@
             self.start_member(member)
         await self.wait_until_ready()
 
+    async def restart_behind_links(self):
+        """Start all nodes again, each with a link of its own to the store.
+
+        Returns
+        -------
+        LinkTable
+            Links from the name of each node to ``store``.
+        """
+        links = LinkTable({})
+        for member in self.members:
+            target = f"127.0.0.1:{self.platform.port}"
+            link = Forwarder(links, member.name, "store", target)
+            await link.listen()
+            self.tasks.start_soon(link.run)
+            member.store_address = link.address
+        for member in self.members:
+            await self.restart_member(member)
+        return links
+
     async def wait_until_ready(self, members=None, timeout_s=10.0):
         """Wait until nodes are ready; raise `TimeoutError` after `timeout_s`."""
         with anyio.fail_after(timeout_s):
--- a/tests/test_fleet_lost_watches.py
+++ b/tests/test_fleet_lost_watches.py
@@ -9,7 +9,6 @@
 
 from bronzescale_standins.fleet.testing import in_loop
 from bronzescale_standins.fleet.world import ROUTES, running_world
-from bronzescale_standins.links import Forwarder, LinkTable
 
 # `bounds.config_apply_ms` of the smallest deployments.
 IN_FORCE_WITHIN_S = 4.0
@@ -35,20 +34,6 @@
     watches.clear()
 
 
-async def start_behind_links(world):
-    """Start all nodes again, each with a link of its own to the store."""
-    links = LinkTable({})
-    for member in world.members:
-        target = f"127.0.0.1:{world.platform.port}"
-        link = Forwarder(links, member.name, "store", target)
-        await link.listen()
-        world.tasks.start_soon(link.run)
-        member.store_address = link.address
-    for member in world.members:
-        await world.restart_member(member)
-    return links
-
-
 class LostWatchTest(testtools.TestCase):
     async def check_added_route_is_served(self, world):
         """Add a route; every host must serve it in time."""
@@ -70,7 +55,7 @@
     @in_loop
     async def test_added_route_is_served_in_time_while_the_checker_is_cut_off(self):
         async with running_world() as world:
-            links = await start_behind_links(world)
+            links = await world.restart_behind_links()
             await anyio.sleep(2.0)
             checkers = [
                 member
--- a/tests/test_fleet_store_era.py
+++ b/tests/test_fleet_store_era.py
@@ -9,7 +9,8 @@
 import testtools
 
 from bronzescale_core.groups import Phase
-from bronzescale_core.store_era import SETTLE_MS, era_of
+from bronzescale_core.primary_lease import PRIMARY_LEASE_MS
+from bronzescale_core.store_era import CONFIRMATION_STEP_MS, SETTLE_MS, era_of
 from bronzescale_standins.fleet.testing import in_loop
 from bronzescale_standins.fleet.world import ROUTES, running_world
 
@@ -190,6 +191,37 @@
             self.assertEqual(sorted(set(tokens)), tokens)
 
 
+class CutOffOwnerTest(testtools.TestCase):
+    # Guards against saves that stop with a copy, since only the owner of the primary
+    # wrote the state again and it could not reach the store.
+    @in_loop
+    async def test_saves_go_on_without_a_copy_while_the_owner_is_cut_off(self):
+        async with running_world(nodes=6) as world:
+            await replace_primary(world)
+            links = await world.restart_behind_links()
+            primary = world.group.primary().instance
+            owner, other = owner_and_other(world, primary)
+            links.cut({frozenset((owner.name, "store"))})
+            world.platform.restore_copy(30)
+            await world.restore_store(0.0, 0.1)
+            confirmed_within_s = (SETTLE_MS + 2 * CONFIRMATION_STEP_MS) / 1_000
+            await world.wait_until(
+                lambda: (stored_group(world) or {}).get("primary") == primary,
+                confirmed_within_s,
+            )
+            replica = next(
+                database
+                for database in world.group.databases.values()
+                if database.is_running and database.instance != primary
+            )
+            replica.is_silent = True
+            await anyio.sleep(PRIMARY_LEASE_MS / 1_000)
+            caller = await other.caller("lead")
+            for _ in range(5):
+                self.assertEqual("DONE", (await caller.query("WRITE x 1")).code)
+                await anyio.sleep(0.2)
+
+
 class LostClaimTest(testtools.TestCase):
     @in_loop
     async def test_driver_whose_claim_was_lost_orders_nothing(self):
@@ -270,6 +302,15 @@
             await self.check_saves_resume_after(world, unregister)
 
 
+def owner_and_other(world, instance):
+    """Return the node that owns a database and one that does not."""
+    owns = {
+        member.process.node.is_preferred_owner(instance): member
+        for member in world.members
+    }
+    return owns[True], owns[False]
+
+
 def versions_of(members):
     return [member.process.node.configuration.version for member in members]
 
