Test a route that was added below a reused revision

What callers saw: nothing new; docs/design/store-eras.md named a hole without a test. A watch that waits at a revision which the store gives out again after its return from a copy isn't answered, so a route that is added below that revision stays unknown.

Why it holds now: the checker's watch waits 1.6 s at most, its answer carries the new era, and the list that follows reaches the others by heartbeats. Ruled out: closing it a second time with a call after each return; the check bounds it without further calls.

--- a/tests/test_fleet_store_era.py
+++ b/tests/test_fleet_store_era.py
@@ -14,6 +14,8 @@
 from bronzescale_standins.fleet.testing import in_loop
 from bronzescale_standins.fleet.world import ROUTES, running_world
 
+# `bounds.config_apply_ms` of the smallest deployments.
+IN_FORCE_WITHIN_S = 4.0
 GROUP_KEY = ("bronzescale-groups", "svc")
 
 
@@ -83,6 +85,30 @@
                 4,
             )
 
+    # Guards against an added route that stays unknown, since every watch waits at a
+    # revision that the store has given out again.
+    @in_loop
+    async def test_route_below_a_reused_revision_is_served_in_time(self):
+        async with running_world() as world:
+            world.sends_heartbeats = False
+            await anyio.sleep(1.0)
+            copied_at_s = time.monotonic()
+            for _ in range(10):
+                world.configure()
+            await world.wait_until(
+                lambda: {*versions_of(world.members)} == {world.version}
+            )
+            await anyio.sleep(0.5)
+            watched_revision = world.platform.revision
+            world.platform.restore_copy(time.monotonic() - copied_at_s)
+            world.configure((*ROUTES, {**ROUTES[0], "host": "added"}))
+            while world.platform.revision < watched_revision:
+                world.platform.put("other", "entry", world.platform.revision)
+            await anyio.sleep(IN_FORCE_WITHIN_S)
+            for member in world.members:
+                caller = await member.caller("added")
+                self.assertEqual("DONE", (await caller.query("READ x")).code)
+
     @in_loop
     async def test_nodes_whose_entries_were_lost_register_again(self):
         async with running_world(nodes=6) as world:
