--- a/packages/bronzescale-proxy/tests/test_wire_checks.py
+++ b/packages/bronzescale-proxy/tests/test_wire_checks.py
@@ -6,12 +6,17 @@
 from bronzescale_core.membership import Rumor, Status
 from bronzescale_core.objects import StoreObject
 from bronzescale_core.positions import Position
-from bronzescale_core.rendezvous import Node
-from bronzescale_core.work import Outcome, Reach, Work, WorkAnswer, WorkStep
 from bronzescale_proxy import wire
 from bronzescale_proxy.messages import CHECK_REPORT
+from bronzescale_standins.samples import (
+    ANSWER,
+    GRANT,
+    HOST,
+    MESSAGES,
+    PERMIT_REQUEST,
+    WORK,
+)
 
-HOST = Node("n1", "10.0.0.1:7440", "a", "north", 5)
 ODD_HOSTS = (
     HOST._replace(name=""),
     HOST._replace(name="n" * 300),
@@ -47,39 +52,6 @@
         self.assertEqual("'n1'", heartbeat.unreadable[0].name)
 
 
-WORK = Work(
-    service="s",
-    upstream="d1",
-    step=WorkStep.SINGLE,
-    request_id="r1",
-    text="READ x",
-    is_write=False,
-    is_read_only=False,
-    deadline_ms=800,
-)
-ANSWER = WorkAnswer(Outcome.DONE, Reach.ANSWERED, "", ("row",), "sig")
-GRANT = wire.PermitReply(3, 300, 20, True, 15, 77, 12)
-REQUEST = wire.PermitRequest("c1", 3, 1, 12, 2, "n1", 77, True, True)
-MESSAGES = (
-    WORK,
-    ANSWER,
-    GRANT,
-    GRANT._replace(permits=-7),
-    REQUEST,
-    wire.Heartbeat("n1", 5, Status.ALIVE, 0, [Rumor(HOST, Status.DOWN)], (1, 2)),
-    wire.Objects(-1, -1, [StoreObject("hosts", "n1", 7, {"address": "x"})]),
-    wire.Objects(CHECK_REPORT, -1, []),
-    wire.ObjectsRequest(0, ("hosts",)),
-    wire.EvidenceRequest("s", 3),
-    wire.EvidenceReply("n1", "a", 3, "down"),
-    wire.HeadRequest("", 0),
-    wire.HeadReply(Position(3, 7), ""),
-    wire.Hello("n1", 5),
-    wire.StateRequest("s"),
-    wire.StateReply(True, StoreObject("groups", "s", 7, {"term": 2}), 1, ""),
-    wire.EndTransaction("d1", 2**63 - 1),
-    wire.Credit(3),
-)
 ODD_MESSAGES = (
     WORK._replace(service=None),
     WORK._replace(text=None),
@@ -100,9 +72,9 @@
     GRANT._replace(permits=2**31 - 1),
     GRANT._replace(valid_until_ms=2**31 - 1),
     GRANT._replace(wait_ms=-5),
-    REQUEST._replace(wanted=-1),
-    REQUEST._replace(customer=""),
-    REQUEST._replace(unused=-3),
+    PERMIT_REQUEST._replace(wanted=-1),
+    PERMIT_REQUEST._replace(customer=""),
+    PERMIT_REQUEST._replace(unused=-3),
     wire.Heartbeat("", 5, Status.ALIVE, 0, [], ()),
     wire.Heartbeat("n1", -5, Status.ALIVE, 0, [], ()),
     wire.Heartbeat("n1", 2**63 - 1, Status.ALIVE, 0, [], ()),
@@ -141,5 +113,7 @@
         )
 
     def test_ordinary_messages_are_taken(self):
-        for message in MESSAGES:
+        last_number = wire.EndTransaction("d1", 2**63 - 1)
+        check_report = wire.Objects(CHECK_REPORT, -1, [])
+        for message in (*MESSAGES, last_number, check_report):
             self.assertEqual(message, decode(message))
--- a/packages/bronzescale-standins/src/bronzescale_standins/fuzz.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fuzz.py
@@ -14,14 +14,11 @@
 from cyclopts import Parameter
 
 from bronzescale_core.groups import GroupState, dump_group, load_group
-from bronzescale_core.membership import Rumor, Status
-from bronzescale_core.objects import StoreObject
-from bronzescale_core.rendezvous import Node
 from bronzescale_core.store_era import StoreEra
-from bronzescale_core.work import Outcome, Reach, Work, WorkAnswer, WorkStep
 from bronzescale_platform import documents
 from bronzescale_platform.line_codec import PlatformLineCodec
 from bronzescale_proxy import wire
+from bronzescale_standins.samples import MESSAGES
 
 MAX_REPORTED_FAILURES = 10
 VALUES = (None, True, -1, 0, 2**70, 1.5, float("inf"), "", "x", "-1", [], {}, [{}])
@@ -109,34 +106,7 @@
 
 
 def _frames():
-    node = Node("n1", "10.0.0.1:1", "a", "b", 5)
-    work = Work(
-        service="s",
-        upstream="d1",
-        step=WorkStep.SINGLE,
-        request_id="r1",
-        text="READ x",
-        is_write=False,
-        is_read_only=False,
-        values=(("who", "1"),),
-        deadline_ms=800,
-    )
-    messages = (
-        wire.Heartbeat("n1", 5, Status.ALIVE, 0, [Rumor(node, Status.DOWN)], (1, 2)),
-        wire.Objects(-1, -1, [StoreObject("hosts", "n1", 7, {"address": "x"})]),
-        wire.ObjectsRequest(0, ("hosts",)),
-        wire.EvidenceReply("n1", "a", 3, "down"),
-        wire.HeadRequest("s", 100),
-        wire.Hello("n1", 5),
-        wire.PermitRequest("c1", 3, 1, 12, 2, "n1", 77, True, True),
-        wire.PermitReply(3, 300, 20, True, 15, 77, 12),
-        wire.StateRequest("s"),
-        wire.StateReply(True, StoreObject("groups", "s", 7, {"term": 2}), 1, ""),
-        wire.StateReply(False, None, 0, "the store is down"),
-        work,
-        WorkAnswer(Outcome.DONE, Reach.ANSWERED, "", ("row",), "sig"),
-    )
-    return [wire.encode(1, message, 0)[wire.HEADER.size :] for message in messages]
+    return [wire.encode(1, message, 0)[wire.HEADER.size :] for message in MESSAGES]
 
 
 def _check_frame(rng, samples):
