Log a connection that a full database refused

What operators saw: nothing. Cause: the handler was rewritten without it, and no test asked for the line. Change: the line is back; test_each_documented_event_is_logged compares the table with the calls in the sources, and failed with connections_full before. Ruled out: taking it out of the table; a refused connection is the reason why a statement waits, and the budget that follows it is visible nowhere else.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/pool.py
@@ -215,6 +215,9 @@
         except UpstreamUnavailableError as error:
             if _is_full(error):
                 budget.record_full(now_ms())
+                self._log.log_decision(
+                    "connections_full", upstream=self._copy.instance, open=self.size
+                )
             opening.error = error
         finally:
             budget.finish_open(customer, opening.connection is not None)
--- a/tests/test_event_docs.py
+++ b/tests/test_event_docs.py
@@ -50,3 +50,6 @@
         events = logged_events()
         self.assertTrue(all(EVENT_NAME.fullmatch(event) for event in events), events)
         self.assertEqual(set(), events - documented_events())
+
+    def test_each_documented_event_is_logged(self):
+        self.assertEqual(set(), documented_events() - logged_events())
