--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -18,7 +18,7 @@
 from bronzescale_core.positions import parse_token, render_token
 from bronzescale_core.rendezvous import Node, rank_nodes
 from bronzescale_core.store_era import StoreEra, make_version, reconcile_group
-from bronzescale_core.work import Outcome, Reach, Work, WorkAnswer, WorkStep
+from bronzescale_core.work import Outcome, Reach, WorkAnswer
 from bronzescale_platform import documents
 from bronzescale_platform.line_codec import PlatformLineCodec
 from bronzescale_platform.objects import ObjectStore
@@ -28,6 +28,7 @@
 from bronzescale_proxy.fleet.streams import split_address
 from bronzescale_proxy.thrift_gen import ttypes as t
 from bronzescale_standins import fuzz
+from bronzescale_standins.samples import WORK
 
 GENERATED = settings(derandomize=True, max_examples=300, deadline=None, database=None)
 OWN = Node("own", "10.0.0.1:7440", "a", "north", 5)
@@ -185,14 +186,8 @@
         except documents.UnreadableDocumentError:
             return
         for route in configuration.routes.values():
-            work = Work(
+            work = WORK._replace(
                 service=route.service,
-                upstream="d1",
-                step=WorkStep.SINGLE,
-                request_id="r",
-                text="READ x",
-                is_write=False,
-                is_read_only=False,
                 max_age_ms=route.max_age_ms,
                 priority=route.priority,
                 deadline_ms=route.timeout_ms,
