--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 # Length of the loss of power; site files hold up to 2 s for many machines.
 DOWN_S = 2.0
 # Time from the primary's loss to the loss of power.
-PRIMARY_LEAD_S = 1.3
+PRIMARY_LEAD_S = 1.0
 # Age of the primary's last heartbeat when it is lost; it sends one each 1.2 s.
 HEARTBEAT_AGE_S = 0.9
 
--- a/review/standins-2/databases.py
+++ b/review/standins-2/databases.py
@@ -120,6 +120,8 @@
         self.semaphore = asyncio.Semaphore(slots)
         self.signatures = itertools.count(1)
         self.received = asyncio.Event()
+        # When each statement of a caller arrived, by its id.
+        self.arrived_at_s = {}
         self._writers = set()
         self._tasks = []
         self._server = None
@@ -272,6 +274,7 @@
             if word != "QUERY":
                 return
             request_id, _, text = rest.partition(" ")
+            database.arrived_at_s[request_id] = time.monotonic()
             answer = await self._answer(request_id, text)
             await self._wait_while_dark()
             self._send(*answer, f"READY {self._state} {database.position()}")
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -370,15 +370,21 @@
             **fields,
         }
 
-    async def start(self):
-        """Start everything and wait until all nodes are ready."""
+    async def start(self, **bounds):
+        """Start everything and wait until all nodes are ready.
+
+        Parameters
+        ----------
+        **bounds
+            Bounds in the nodes' settings that differ from the usual ones.
+        """
         await self.store.start()
         await self.cloud.start()
         for database in self.group.databases.values():
             await database.start()
         self._tasks.append(asyncio.create_task(self.store.follow_databases(self.group)))
         for node in self.nodes:
-            node.start()
+            node.start(**bounds)
         for node in self.nodes:
             if not await node.wait_until_ready():
                 raise CannotRunError(f"{node.name} did not become ready")
