--- a/review/standins-2/databases.py
+++ b/review/standins-2/databases.py
@@ -10,6 +10,8 @@
 REPLICATION_INTERVAL_S = 0.002
 # A replaced primary goes on until a second after it can reach the new one.
 DEMOTION_DELAY_S = 1.0
+# A message is at most 1 MiB.
+MAX_LINE_BYTES = 1_048_576
 
 
 class Entry:
@@ -130,7 +132,9 @@
 
     async def start(self):
         """Listen, and follow the primary."""
-        self._server = await asyncio.start_server(self._serve, *self.address)
+        self._server = await asyncio.start_server(
+            self._serve, *self.address, limit=MAX_LINE_BYTES
+        )
         self.is_running = True
         self._tasks = [asyncio.create_task(self._replicate())]
 
