--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # the Python that runs the deploy file's role, so compiling them is all.
 set -e
 cd "$(dirname "$0")"
-exec python3 -m compileall -q standins-2 6 7 9
+exec python3 -m compileall -q standins-2 6 7 9 10
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -87,11 +87,13 @@
         self.process = None
         self.settings_path = deployment.folder / f"{name}.conf"
         self._starts = 0
+        # Whether the machine was added to a running system.
+        self.is_added = False
 
     def write_settings(self, **changed):
         """Write the settings file; keyword arguments replace bounds."""
         network = self.deployment.network
-        seeds = ",".join(f"{network}.{11 + i}:{CONTROL_PORT}" for i in range(3))
+        seeds = ",".join(f"{n.ip}:{CONTROL_PORT}" for n in self.deployment.nodes[:3])
         bounds = {
             "seed_lag_s": 3,
             "addr_reuse_s": 2,
@@ -123,7 +125,7 @@
             "listen.control": f"{self.ip}:{CONTROL_PORT}",
             "port_range": "7440,7455",
             "seeds": seeds,
-            "bootstrap": "true" if self._starts == 0 else "false",
+            "bootstrap": "true" if self._starts == 0 and not self.is_added else "false",
             "limits.cores": 2,
             "limits.memory_mb": 300,
             "limits.max_fds": 4_200,
