--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -425,6 +425,9 @@
     record = Record(Path(case_file).resolve().parent / "record.txt")
 
     async def run():
+        # Ends the processes also if the script is told to stop.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             deployment = Deployment(record, folder, **options)
             try:
@@ -437,7 +440,7 @@
 
     try:
         findings = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         raise SystemExit(2) from None
     for finding in findings:
