--- a/packages/bronzescale-core/src/bronzescale_core/groups.py
+++ b/packages/bronzescale-core/src/bronzescale_core/groups.py
@@ -63,7 +63,8 @@
     term : int
         Term of ``primary``; in phase ``fencing`` the term of the next primary.
     primary : str
-        Name of the primary; in phase ``fencing`` the one that is being replaced.
+        Name of the primary; in phase ``fencing`` the one that is being replaced, empty
+        if none is known.
     phase : Phase
         Whether a change of primary is under way.
     writer : str
@@ -168,8 +169,12 @@
     for start in starts:
         require_whole("the term of a start", start.term)
         require_whole("the offset of a start", start.offset)
-    for key in ("service", "primary"):
-        require(is_label(document[key]), key, document[key])
+    phase = Phase(document["phase"])
+    require(is_label(document["service"]), "the service", document["service"])
+    primary = document["primary"]
+    # A service may be left without a primary that any node knows; its change begins so.
+    is_unknown = primary == "" and phase is Phase.FENCING
+    require(is_unknown or is_label(primary), "the primary", primary)
 
     def text(key):
         return require_text(key, document.get(key, ""))
@@ -180,8 +185,8 @@
     return GroupState(
         service=document["service"],
         term=require_whole("the term", document["term"]),
-        primary=document["primary"],
-        phase=Phase(document["phase"]),
+        primary=primary,
+        phase=phase,
         writer=text("writer"),
         nonce=text("nonce"),
         reason=text("reason"),
--- a/packages/bronzescale-core/src/bronzescale_core/succession.py
+++ b/packages/bronzescale-core/src/bronzescale_core/succession.py
@@ -26,7 +26,7 @@
     cause : Cause
         Why it is replaced.
     primary : str
-        Id of the primary to replace.
+        Id of the primary to replace; empty if none is known.
     reason : str
         Description of the evidence.
     """
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/node.py
@@ -544,12 +544,19 @@
         StoreConflictError
             If the store has another version.
         StoreError
-            If the write failed; the state may have been stored anyway.
+            If the write failed; the state may have been stored anyway. Also if nodes
+            could not read the state; nothing is stored then, since the next write must
+            name the version of the object that it replaces.
         """
-        item = await self.store.put(
-            GROUPS, state.service, dump_group(state), state.version
-        )
-        item = item._replace(value=dump_group(state))
+        document = dump_group(state)
+        try:
+            load_group(document, state.version)
+        except UnreadableGroupError as error:
+            raise StoreError(
+                f"a state of {state.service} was not written: {error}"
+            ) from error
+        item = await self.store.put(GROUPS, state.service, document, state.version)
+        item = item._replace(value=document)
         self.apply_object(item)
         self.push([item])
         return state._replace(version=item.version)
