Log which copies a change of primary chose from

Ruled out: change_begun and evidence, which speak of the old primary.

Change: successor_chosen names the chosen copy, the position of every copy that could be chosen, and which of them are leaving.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -356,12 +356,22 @@
             raise UpstreamUnavailableError(
                 "no copy could be paused; check that the databases run"
             )
+        self._log_choice(chosen, paused + primaries)
         await _sleep_past_lease(fenced_at_ms)
         if chosen in paused:
             await self._keep_paused(chosen, claim.term, expires_ms)
         await self._promote(chosen, claim, expires_ms)
         await self._finish(chosen, claim, find_substitutes(chosen, paused))
 
+    def _log_choice(self, chosen, candidates):
+        self._node.log.log_state_change(
+            "successor_chosen",
+            service=self._service,
+            upstream=chosen.instance,
+            received={c.instance: str(c.status.received) for c in candidates},
+            leaving=[c.instance for c in candidates if c.is_leaving],
+        )
+
     async def _collect_candidates(self, excluded=frozenset()):
         """Return every copy that answers, with its status, except excluded ones."""
         found = []
