--- a/packages/bronzescale-core/src/bronzescale_core/catalog.py
+++ b/packages/bronzescale-core/src/bronzescale_core/catalog.py
@@ -65,10 +65,13 @@
         Name of the service.
     max_connections : int
         Connections that each of its databases accepts from all nodes together.
+    confirming_replicas : int
+        Replicas that have received a commit before it is acknowledged.
     """
 
     name: str
     max_connections: int
+    confirming_replicas: int = 0
 
 
 class Configuration(NamedTuple):
@@ -128,6 +131,23 @@
         }
         return self._replace(routes=routes, has_customers=True)
 
+    def keeps_acknowledged(self, service):
+        """Return whether a service's acknowledged commits must survive its primary.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        bool
+            Also True for a service that is not configured, whose databases may wait for
+            replicas.
+        """
+        limits = self.services.get(service)
+        return limits is None or limits.confirming_replicas > 0
+
 
 class Copy(NamedTuple):
     """One database of a service, as it registered itself.
--- a/packages/bronzescale-core/src/bronzescale_core/succession.py
+++ b/packages/bronzescale-core/src/bronzescale_core/succession.py
@@ -78,14 +78,14 @@
     return max(terms, default=0) + 1
 
 
-def choose_successor(paused, trigger):
+def choose_successor(paused, trigger, keeps_acknowledged=False):
     """Return the copy to promote, or None if there is no candidate.
 
-    Copies that are leaving are considered only if there is no other. Among those that
-    are considered, a copy that reports itself as the primary of the newest term comes
-    first, since an unfinished change has promoted it already. Next is the one with the
-    most advanced log, so that no write is lost that any of them has. A primary of an
-    older term, which has not learned of its replacement, is not considered.
+    Among the copies that are considered, one that reports itself as the primary of the
+    newest term comes first, since an unfinished change has promoted it already. Next is
+    the one with the most advanced log, so that no write is lost that any of them has,
+    and of equal ones one that stays. A primary of an older term, which has not learned
+    of its replacement, is not considered.
 
     Parameters
     ----------
@@ -94,6 +94,11 @@
         themselves as the primary.
     trigger : Trigger
         The primary to replace, and why.
+    keeps_acknowledged : bool, default=False
+        Whether acknowledged commits must survive the primary. If so, a copy that is
+        leaving is considered like any other, since it may alone have confirmed some of
+        them; it is replaced in turn. Otherwise copies that are leaving are considered
+        only if there is no other.
 
     Returns
     -------
@@ -107,10 +112,15 @@
         and not (c.status.is_primary and c.status.term < newest_term)
     ]
     staying = [c for c in eligible if not c.is_leaving]
-    preferred = staying or eligible
+    considered = eligible if keeps_acknowledged else staying or eligible
     return max(
-        preferred,
-        key=lambda c: (c.status.is_primary, c.status.received, c.instance),
+        considered,
+        key=lambda c: (
+            c.status.is_primary,
+            c.status.received,
+            not c.is_leaving,
+            c.instance,
+        ),
         default=None,
     )
 
--- a/packages/bronzescale-core/tests/test_fleet_core.py
+++ b/packages/bronzescale-core/tests/test_fleet_core.py
@@ -249,6 +249,24 @@
         )
         self.assertEqual("a", choose_successor([leaving], self.trigger).instance)
 
+    def test_leaving_copy_that_alone_holds_acknowledged_commits_is_chosen(self):
+        """Guards against their loss: leaving copies confirm, too (review case 7)."""
+        leaving = self.candidate("a", is_leaving=True, received=9)
+        behind = self.candidate("b", received=8)
+        for cause in Cause:
+            trigger = Trigger(cause, "old", "")
+            for copies in ([leaving, behind], [behind, leaving]):
+                chosen = choose_successor(copies, trigger, keeps_acknowledged=True)
+                self.assertEqual("a", chosen.instance)
+            self.assertEqual("b", choose_successor(copies, trigger).instance)
+
+    def test_of_equal_logs_the_copy_that_stays_is_chosen(self):
+        leaving = self.candidate("b", is_leaving=True, received=9)
+        staying = self.candidate("a", received=9)
+        for copies in ([leaving, staying], [staying, leaving]):
+            chosen = choose_successor(copies, self.trigger, keeps_acknowledged=True)
+            self.assertEqual("a", chosen.instance)
+
     def test_copy_that_is_already_primary_is_chosen(self):
         primary = self.candidate("a", term=2, received=5, is_primary=True)
         other = self.candidate("b", term=1, received=9)
--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/promotion.py
@@ -351,7 +351,9 @@
         paused = await self._fence(trigger.primary, claim.term, failed)
         fenced_at_ms = now_ms()
         primaries = [c for c in candidates if c.status.is_primary]
-        chosen = choose_successor(paused + primaries, trigger)
+        chosen = choose_successor(
+            paused + primaries, trigger, self._keeps_acknowledged()
+        )
         if chosen is None:
             raise UpstreamUnavailableError(
                 "no copy could be paused; check that the databases run"
@@ -363,6 +365,10 @@
         await self._promote(chosen, claim, expires_ms)
         await self._finish(chosen, claim, find_substitutes(chosen, paused))
 
+    def _keeps_acknowledged(self):
+        configuration = self._node.configuration
+        return configuration is None or configuration.keeps_acknowledged(self._service)
+
     def _log_choice(self, chosen, candidates):
         self._node.log.log_state_change(
             "successor_chosen",
@@ -370,6 +376,7 @@
             upstream=chosen.instance,
             received={c.instance: str(c.status.received) for c in candidates},
             leaving=[c.instance for c in candidates if c.is_leaving],
+            keeps_acknowledged=self._keeps_acknowledged(),
         )
 
     async def _collect_candidates(self, excluded=frozenset()):
--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/world.py
@@ -167,6 +167,8 @@
         self.tasks = None
         self.sends_heartbeats = True
         self.is_first_start = True
+        # Written with the configuration; the databases themselves never wait.
+        self.sync_replicas = 0
 
     def seeds(self):
         """Return the peer addresses of the first nodes, which new nodes contact."""
@@ -195,7 +197,7 @@
                     "max_conns": next(
                         iter(self.group.databases.values())
                     ).max_connections,
-                    "sync_replicas": 0,
+                    "sync_replicas": self.sync_replicas,
                 }
             ],
             "limits": {"tx_idle_ms": 3_000, "max_body_bytes": 262_144, **limits},
--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -116,6 +116,15 @@
         self.assertEqual(21, configuration.services["huvo11a"].max_connections)
         self.assertEqual(3000, configuration.transaction_idle_ms)
 
+    def test_acknowledged_commits_of_services_with_confirming_replicas_are_kept(self):
+        (service,) = CONFIGURATION["services"]
+        for count, expected in ((0, False), (1, True), (2, True)):
+            services = [{**service, "sync_replicas": count}]
+            document = {**CONFIGURATION, "services": services}
+            configuration = documents.decode_configuration(document)
+            self.assertEqual(expected, configuration.keeps_acknowledged("huvo11a"))
+            self.assertTrue(configuration.keeps_acknowledged("unknown"))
+
     def test_malformed_configuration_raises_unreadable_document_error(self):
         for change in ({"routes": None}, {"version": "x"}, {"services": [{}]}):
             self.assertRaises(
