--- a/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/wire.py
@@ -121,6 +121,11 @@
     return t.WirePosition(value.term, value.offset)
 
 
+def _time_left_ms(deadline_ms, now_ms):
+    """Return the time until a deadline as peers accept it, from 0 to a day."""
+    return min(max(0, deadline_ms - now_ms), MAX_TIME_MS)
+
+
 def _to_wire_node(value):
     return t.WireNode(*value)
 
@@ -179,10 +184,10 @@
         sql=message.sql,
         kind=message.kind.value,
         mode=message.consistency.mode.value,
-        max_age_ms=message.consistency.max_age_ms,
+        max_age_ms=min(message.consistency.max_age_ms, MAX_TIME_MS),
         floor=_to_wire_position(message.floor),
-        remaining_ms=max(0, message.deadline_ms - now_ms),
-        wait_ms=max(0, message.wait_until_ms - now_ms),
+        remaining_ms=_time_left_ms(message.deadline_ms, now_ms),
+        wait_ms=_time_left_ms(message.wait_until_ms, now_ms),
         transaction_id=message.transaction_id,
         request_key=message.request_key,
     )
@@ -233,7 +238,7 @@
 
 @to_body.register
 def _(message: HeadRequest, now_ms):
-    remaining_ms = max(0, message.deadline_ms - now_ms)
+    remaining_ms = _time_left_ms(message.deadline_ms, now_ms)
     return t.Body(head_request=t.WireHeadRequest(message.service, remaining_ms))
 
 
@@ -296,11 +301,12 @@
         is_shape_write=None if shape is None else shape.is_write,
         floor_term=message.floor.term,
         floor_offset=message.floor.offset,
-        max_age_ms=message.max_age_ms,
+        # In a transaction, the age at its BEGIN adds to that of the route.
+        max_age_ms=min(message.max_age_ms, MAX_TIME_MS),
         needs_lead=message.needs_lead,
         transaction_id=message.transaction_id,
         priority=message.priority,
-        remaining_ms=max(0, message.deadline_ms - now_ms),
+        remaining_ms=_time_left_ms(message.deadline_ms, now_ms),
         customer=message.customer or None,
         route=message.route or None,
     )
--- a/packages/bronzescale-proxy/tests/test_wire_checks.py
+++ b/packages/bronzescale-proxy/tests/test_wire_checks.py
@@ -6,6 +6,12 @@
 from bronzescale_core.membership import Rumor, Status
 from bronzescale_core.objects import StoreObject
 from bronzescale_core.positions import Position
+from bronzescale_core.statements import (
+    Consistency,
+    ConsistencyMode,
+    StatementKind,
+    StatementRequest,
+)
 from bronzescale_proxy import wire
 from bronzescale_proxy.messages import CHECK_REPORT
 from bronzescale_standins.samples import (
@@ -59,6 +65,7 @@
     WORK._replace(floor=Position(-1, 0)),
     WORK._replace(floor=Position(0, 2**63 - 1)),
     WORK._replace(max_age_ms=-2),
+    WORK._replace(max_age_ms=MAX_TIME_MS + 1),
     WORK._replace(transaction_id=-1),
     WORK._replace(deadline_ms=2**62),
     ANSWER._replace(position=Position(2**63 - 1, 0)),
@@ -96,6 +103,8 @@
 class FieldTest(testtools.TestCase):
     # Guards against odd numbers of one peer that decide something at another one.
     def test_odd_messages_are_refused(self):
+        # This host sends no time above a day; another one may.
+        self.patch(wire, "MAX_TIME_MS", 2**63 - 1)
         for message in ODD_MESSAGES:
             payload = wire.encode(1, message, 0)[wire.HEADER.size :]
             with self.assertRaises((ValueError, TypeError), msg=message):
@@ -112,6 +121,28 @@
             (MAX_TIME_MS, MAX_TIME_MS), (grant.retry_after_ms, grant.wait_ms)
         )
 
+    def test_ages_and_deadlines_beyond_a_day_are_sent_as_a_day(self):
+        """Guards against one statement that ends those of others on its connection."""
+        far_ms = 400 * MAX_TIME_MS
+        work = decode(WORK._replace(max_age_ms=far_ms, deadline_ms=far_ms))
+        self.assertEqual((MAX_TIME_MS,) * 2, (work.max_age_ms, work.deadline_ms))
+        request = StatementRequest(
+            "s",
+            "d1",
+            "SELECT 1",
+            StatementKind.READ,
+            consistency=Consistency(ConsistencyMode.AGE, 10**40),
+            deadline_ms=far_ms,
+            wait_until_ms=far_ms,
+        )
+        request = decode(request)
+        self.assertEqual(MAX_TIME_MS, request.consistency.max_age_ms)
+        self.assertEqual(
+            (MAX_TIME_MS,) * 2, (request.deadline_ms, request.wait_until_ms)
+        )
+        head = decode(wire.HeadRequest("s", far_ms))
+        self.assertEqual(MAX_TIME_MS, head.deadline_ms)
+
     def test_ordinary_messages_are_taken(self):
         last_number = wire.EndTransaction("d1", 2**63 - 1)
         check_report = wire.Objects(CHECK_REPORT, -1, [])
