--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -6,6 +6,7 @@
 
 from bronzescale_core.catalog import RouteKind
 from bronzescale_core.customers import Customer, digest_key
+from bronzescale_core.field_checks import MAX_TIME_MS
 from bronzescale_platform import documents
 
 ENTRY = {
@@ -38,6 +39,10 @@
     "services": [{"name": "huvo11a", "max_conns": 21, "sync_replicas": 0}],
     "limits": {"max_body_bytes": 262144, "tx_idle_ms": 3000},
 }
+LIMITS = ("tx_idle_ms", "max_body_bytes", "unknown")
+# Of the pages' fields, up to times of years.
+AMOUNTS = st.integers(0, 10**12)
+WORDS = st.from_regex(r"[a-z0-9][a-z0-9._-]{0,40}", fullmatch=True)
 SETTINGS = """node=front-kajaani-1
 ip=10.1.0.8
 zone=kajaani
@@ -86,6 +91,7 @@
             {"slots": "3"},
             {"slots": 0},
             {"slots": True},
+            {"slots": 2**63},
             {"born": "today"},
         ):
             entry = {**ENTRY, **change}
@@ -93,6 +99,10 @@
         for entry in (None, "text", [], 7, {}):
             self.assertIsNone(documents.decode_copy("i-7", entry))
 
+    def test_database_of_very_many_slots_is_used(self):
+        entry = {**ENTRY, "slots": 10**6}
+        self.assertEqual(documents.MAX_SLOTS, documents.decode_copy("i-7", entry).slots)
+
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(
         st.dictionaries(
@@ -126,13 +136,135 @@
             self.assertTrue(configuration.keeps_acknowledged("unknown"))
 
     def test_malformed_configuration_raises_unreadable_document_error(self):
-        for change in ({"routes": None}, {"version": "x"}, {"services": [{}]}):
+        for change in (
+            {"routes": None},
+            {"routes": {}},
+            {"services": None},
+            {"version": "x"},
+            {"version": 2**62 + 1},
+            {"version": None},
+        ):
             self.assertRaises(
                 documents.UnreadableDocumentError,
                 documents.decode_configuration,
                 {**CONFIGURATION, **change},
             )
 
+    def decode_changed(self, **changes):
+        """Return the changed route and the findings, beside an unchanged route."""
+        changed = {**ROUTE, "host": "odd", **changes}
+        configuration = documents.decode_configuration(
+            {**CONFIGURATION, "routes": [changed, ROUTE]}
+        )
+        (expected,) = documents.decode_configuration(CONFIGURATION).routes.values()
+        self.assertEqual(expected, configuration.routes["fiti8"])
+        return configuration.routes.get("odd"), configuration.findings
+
+    def test_number_that_cannot_be_used_costs_only_itself(self):
+        """Guards against a version that no node takes for one field (review case 9)."""
+        for key, value, name, reading in (
+            ("max_staleness_ms", 172_800_000, "max_age_ms", MAX_TIME_MS),
+            ("max_staleness_ms", 10**40, "max_age_ms", MAX_TIME_MS),
+            ("max_staleness_ms", -2, "max_age_ms", 0),
+            ("max_staleness_ms", "soon", "max_age_ms", 0),
+            ("timeout_ms", MAX_TIME_MS + 1, "timeout_ms", MAX_TIME_MS),
+            ("timeout_ms", -1, "timeout_ms", 1_000),
+            ("timeout_ms", True, "timeout_ms", 1_000),
+            ("slo_ms", 2**62, "target_ms", MAX_TIME_MS),
+            ("slo_ms", float("inf"), "target_ms", 1_000),
+            ("priority", 2**31, "priority", 2**31 - 1),
+            ("priority", [], "priority", 1),
+        ):
+            route, findings = self.decode_changed(**{key: value})
+            self.assertEqual(reading, getattr(route, name), (key, value))
+            self.assertEqual(1, len(findings), (key, value))
+            self.assertIn("W121", findings[0])
+
+    def test_ages_up_to_a_day_are_read_as_written(self):
+        for age_ms in (0, 1, 1_500, MAX_TIME_MS):
+            route, findings = self.decode_changed(max_staleness_ms=age_ms)
+            self.assertEqual((age_ms, ()), (route.max_age_ms, findings))
+
+    def test_route_without_a_usable_name_costs_only_itself(self):
+        for changes in ({"host": "two words"}, {"host": None}, {"service": 7}):
+            route, findings = self.decode_changed(**changes)
+            self.assertIsNone(route)
+            self.assertEqual(1, len(findings), changes)
+            self.assertIn("W120", findings[0])
+
+    def test_odd_service_costs_only_its_limits(self):
+        (service,) = CONFIGURATION["services"]
+        configuration = documents.decode_configuration(
+            {**CONFIGURATION, "services": [{}, 5, service]}
+        )
+        self.assertEqual({"huvo11a"}, set(configuration.services))
+        self.assertEqual(2, len(configuration.findings))
+        odd = {"name": "odd", "max_conns": 2**40, "sync_replicas": "many"}
+        configuration = documents.decode_configuration(
+            {**CONFIGURATION, "services": [odd, service]}
+        )
+        self.assertEqual(2**31 - 1, configuration.services["odd"].max_connections)
+        self.assertTrue(configuration.keeps_acknowledged("odd"))
+        self.assertFalse(configuration.keeps_acknowledged("huvo11a"))
+
+    def test_odd_limits_cost_only_themselves(self):
+        for limits, idle_ms in (
+            ({"tx_idle_ms": 10 * MAX_TIME_MS}, MAX_TIME_MS),
+            ({"tx_idle_ms": -5}, 3_000),
+            ({"tx_idle_ms": 0}, 3_000),
+            ([], 3_000),
+            (None, 3_000),
+        ):
+            document = {**CONFIGURATION, "limits": limits}
+            configuration = documents.decode_configuration(document)
+            self.assertEqual(idle_ms, configuration.transaction_idle_ms, limits)
+            self.assertEqual({"fiti8"}, set(configuration.routes))
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.fixed_dictionaries(
+                {"host": WORDS, "service": WORDS},
+                optional={
+                    "type": st.sampled_from(
+                        ("primary", "bounded_staleness", "read_your_writes")
+                    ),
+                    "timeout_ms": AMOUNTS,
+                    "slo_ms": AMOUNTS,
+                    "max_staleness_ms": AMOUNTS,
+                    "priority": AMOUNTS,
+                    "max_attempts": AMOUNTS,
+                    "unknown": st.none(),
+                },
+            ),
+            max_size=300,
+            unique_by=lambda route: route["host"],
+        ),
+        st.lists(
+            st.fixed_dictionaries(
+                {"name": WORDS},
+                optional={"max_conns": AMOUNTS, "sync_replicas": AMOUNTS},
+            ),
+            max_size=20,
+            unique_by=lambda service: service["name"],
+        ),
+        st.none() | st.dictionaries(st.sampled_from(LIMITS), AMOUNTS),
+    )
+    def test_whole_range_of_each_field_is_taken(self, routes, services, limits):
+        """Guards against a bound of this code that the operator does not know."""
+        document = {"version": 3, "routes": routes, "services": services}
+        if limits is not None:
+            document["limits"] = limits
+        configuration = documents.decode_configuration(document)
+        self.assertEqual({r["host"] for r in routes}, set(configuration.routes))
+        self.assertEqual({s["name"] for s in services}, set(configuration.services))
+        for written in routes:
+            route = configuration.routes[written["host"]]
+            age_ms = written.get("max_staleness_ms", -1)
+            self.assertEqual(min(age_ms, MAX_TIME_MS), route.max_age_ms)
+            timeout_ms = written.get("timeout_ms") or 1_000
+            self.assertEqual(min(timeout_ms, MAX_TIME_MS), route.timeout_ms)
+
 
 class CustomersTest(testtools.TestCase):
     """Customers of the configuration; a bad value must not keep it from use."""
--- a/tests/test_fleet_long_times.py
+++ b/tests/test_fleet_long_times.py
@@ -14,7 +14,39 @@
 }
 
 
+TWO_DAYS = {**ARCHIVE, "max_staleness_ms": 2 * MAX_TIME_MS}
+DROPPED = {"host": "old", "type": "primary"}
+# `bounds.config_apply_ms` of the smallest deployments.
+IN_FORCE_WITHIN_S = 4.0
+
+
+async def codes_of(world, database):
+    """Read once at each node and return the codes of the answers."""
+    codes = set()
+    for member in world.members:
+        try:
+            caller = await member.caller(database)
+        except ConnectionError as error:
+            codes.add(str(error))
+            continue
+        codes.add((await caller.query("READ x")).code)
+    return codes
+
+
 class LongAgeTest(testtools.TestCase):
+    @in_loop
+    async def test_version_with_a_route_over_data_of_two_days_is_in_force(self):
+        """Guards against a version that every node refuses (review case 9)."""
+        async with running_world(routes=(*ROUTES, DROPPED)) as world:
+            self.assertEqual({"DONE"}, await codes_of(world, "old"))
+            world.configure((*ROUTES, TWO_DAYS))
+            await anyio.sleep(IN_FORCE_WITHIN_S)
+            self.assertEqual({"DONE"}, await codes_of(world, "archive"))
+            self.assertNotIn("DONE", await codes_of(world, "old"))
+            await world.restart_all()
+            for database in ("lead", "aged", "archive"):
+                self.assertEqual({"DONE"}, await codes_of(world, database))
+
     @in_loop
     async def test_transactions_over_data_of_a_day_disturb_no_other_statement(self):
         """Guards against a frame that peers refuse together with its connection.
