--- a/tests/adapter/test_documents.py
+++ b/tests/adapter/test_documents.py
@@ -219,6 +219,14 @@
             configuration = documents.decode_configuration(document)
             self.assertEqual(idle_ms, configuration.transaction_idle_ms, limits)
             self.assertEqual({"fiti8"}, set(configuration.routes))
+            is_read_as_written = limits in ({"tx_idle_ms": 0}, None)
+            self.assertEqual(is_read_as_written, not configuration.findings, limits)
+
+    def test_route_of_an_unknown_type_reads_from_the_primary(self):
+        for word, is_found in (("newest", True), (["primary"], True), (None, False)):
+            route, findings = self.decode_changed(type=word)
+            self.assertEqual(RouteKind.PRIMARY, route.kind)
+            self.assertEqual(is_found, "W123" in " ".join(findings), word)
 
     @settings(max_examples=300, derandomize=True, deadline=None)
     @given(
