Refuse to start under a name that no host could read

A host writes an entry of itself into the store; the check at its start asked only that name, zone and region are not empty, while every host leaves out an entry whose name, zone or region is not printable or longer than 255 characters. Such a host would run and nobody would know it.

Ruled out: a looser check when entries are read, which other programs write, too.

Change: E101 asks for what the readers ask for.

Figures: test_a_host_that_starts_registers_an_entry_that_hosts_can_read fails without the change and passes with it.

--- a/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/checks.py
+++ b/packages/bronzescale-proxy/src/bronzescale_proxy/fleet/checks.py
@@ -3,7 +3,11 @@
 Each message has a stable number and a hint that names the remedy.
 """
 
-from bronzescale_core.field_checks import is_address
+from bronzescale_core.field_checks import (
+    MAX_LABEL_CHARACTERS,
+    is_address,
+    is_label,
+)
 from bronzescale_proxy.checks import CheckMessage
 from bronzescale_proxy.exceptions import SettingsError
 
@@ -38,11 +42,14 @@
 
 
 def _check_names(settings):
+    """Check what this host writes to the store about itself; others must read it."""
     for field in _REQUIRED_FIELDS:
-        if not getattr(settings, field):
+        value = getattr(settings, field)
+        if not is_label(value):
             yield CheckMessage(
                 "bronzescale.E101",
-                f"{field} is empty.",
+                f"{field} {ascii(value)[:80]} is empty, not printable or longer than "
+                f"{MAX_LABEL_CHARACTERS} characters.",
                 f"Set {field} to that of the host.",
             )
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -25,6 +25,7 @@
 from bronzescale_proxy import wire
 from bronzescale_proxy.exceptions import StoreError
 from bronzescale_proxy.fleet.checks import check_settings
+from bronzescale_proxy.fleet.conf import FleetSettings
 from bronzescale_proxy.fleet.streams import split_address
 from bronzescale_proxy.thrift_gen import ttypes as t
 from bronzescale_standins import fuzz
@@ -281,3 +282,29 @@
     def test_settings(self, fields):
         lines = [f"{name}={value}" for name, value in fields.items()]
         check_settings(documents.decode_settings("\n".join(lines)))
+
+    def test_a_host_that_starts_registers_an_entry_that_hosts_can_read(self):
+        """Guards against a host that writes what nobody reads (as review case 6)."""
+        usable = FleetSettings(
+            node="n1",
+            zone="a",
+            region="north",
+            regions={"a": "north"},
+            caller_address="10.0.0.1:1",
+            ready_address="10.0.0.1:2",
+            peer_address="10.0.0.1:3",
+            seeds=(),
+            store_address="10.0.0.2:4",
+            orders_address="10.0.0.2:4",
+        )
+        self.assertEqual([], check_settings(usable))
+        for value in ("", "n" * 256, "half \ud800", "a\x00b", "two\nlines"):
+            for field in ("node", "zone", "region"):
+                changed = usable._replace(**{field: value})
+                host = Node(
+                    changed.node, changed.peer_address, changed.zone, changed.region
+                )
+                self.assertIsNotNone(find_host_problem(host))
+                self.assertEqual(
+                    ["bronzescale.E101"], [m.check_id for m in check_settings(changed)]
+                )
