Start a killed member of the soak once its process has ended

SoakMember.start returns if the process is running, and one that was killed still counts as running until it has ended; 0.2 s after the kill nothing starts it again.

That n4 stayed away for this reason is not shown: a process that did not get its processor would look the same.

Ruled out: an error of the process (nothing on its output), memory (9 of 24 GB).

Change: start() waits for the end of a process that was killed.

--- a/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
+++ b/packages/bronzescale-standins/src/bronzescale_standins/fleet/soak.py
@@ -99,6 +99,7 @@
         self.caller_port = LISTEN_PORTS["front"]
         self.store = Forwarder(soak.links, self.name, "store", soak.store_address)
         self.process = None
+        self._is_killed = False
 
     def _settings(self):
         lines = {
@@ -124,7 +125,13 @@
         return "".join(f"{name}={value}\n" for name, value in lines.items())
 
     def start(self):
-        """Start the process unless it is running."""
+        """Start the process unless it is running.
+
+        One that was killed may take a while to end on a busy machine.
+        """
+        if self._is_killed:
+            self.process.wait()
+            self._is_killed = False
         if self.process is not None and self.process.poll() is None:
             return
         path = self.soak.folder / f"{self.name}.conf"
@@ -142,6 +149,7 @@
         """Send a signal if the process is running."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
+            self._is_killed |= number == signal.SIGKILL
 
     def kill(self):
         """Kill the process, even a suspended one, and wait for its end."""
