--- a/review/standins-3/databases.py
+++ b/review/standins-3/databases.py
@@ -330,6 +330,10 @@
                     if not line.startswith("QUERY "):
                         return
                     _, request_id, text = line.split(" ", 2)
+                    if request_id != "-":
+                        self._database.group.record.write(
+                            "received", database=self._database.name, request=request_id
+                        )
                     lines = await self._run(request_id, text)
                     await self._send(
                         [*lines, f"READY {self._state()} {self._position()}"]
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -48,9 +48,13 @@
     def __init__(self, path):
         self._file = open(path, "w", encoding="utf-8")  # noqa: SIM115
         self._started_s = time.monotonic()
+        # Requests that a database has received.
+        self.received = set()
 
     def write(self, event, **fields):
         """Add an event."""
+        if event == "received":
+            self.received.add(fields["request"])
         at_s = round(time.monotonic() - self._started_s, 3)
         self._file.write(json.dumps({"at_s": at_s, "event": event, **fields}) + "\n")
 
@@ -273,12 +277,12 @@
                     self.platform.delete("servers", database.name)
             await asyncio.sleep(0.05)
 
-    async def start(self):
+    async def start(self, routes=ROUTES):
         """Start everything; return whether all machines are ready in time."""
         await self.platform.start(self.store_address)
         for database in self.group.databases.values():
             await database.start()
-        self.configure()
+        self.configure(routes)
         self._tasks.append(asyncio.create_task(self._send_heartbeats()))
         for machine in self.machines:
             machine.start()
@@ -384,7 +388,7 @@
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             self.close()
         self._record.write(
-            "answered",
+            "answered" if answer else "not_answered",
             request=request_id,
             code=answer.code if answer else None,
             text=answer.text[:120] if answer else None,
