--- a/review/standins-3/databases.py
+++ b/review/standins-3/databases.py
@@ -8,6 +8,7 @@
 import asyncio
 import bisect
 import itertools
+import random
 import time
 from typing import NamedTuple
 
@@ -164,6 +165,8 @@
         # Process ids that are cut off, and whether their connections are reset.
         self.cut_processes = set()
         self.resets_cut = False
+        # Share of the answers that are lost with their connections.
+        self.lost_share = 0.0
         self.connections = set()
         self.waiting = 0
         self._semaphore = asyncio.Semaphore(slots)
@@ -335,6 +338,11 @@
                             "received", database=self._database.name, request=request_id
                         )
                     lines = await self._run(request_id, text)
+                    if (
+                        request_id != "-"
+                        and random.random() < self._database.lost_share
+                    ):
+                        return
                     await self._send(
                         [*lines, f"READY {self._state()} {self._position()}"]
                     )
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -72,6 +72,8 @@
         self.name = f"front-{zone}-{number}"
         self.host = f"127.{fleet.subnet}.{ZONE_NUMBERS[zone]}.{number}"
         self.process = None
+        # Checkout whose build the machine runs.
+        self.root = ROOT
         self._has_started = False
 
     def _settings(self):
@@ -130,11 +132,15 @@
         self._has_started = True
         names = ("PATH", "HOME", "LANG")
         environment = {n: os.environ[n] for n in names if n in os.environ}
-        environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        environment["PYTHONPATH"] = str(self.root / "target" / "deps")
         environment["BRONZESCALE_CONFIG"] = str(path)
         with open(folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
-                self.fleet.command, cwd=ROOT, env=environment, stdout=log, stderr=log
+                self.fleet.command,
+                cwd=self.root,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     def send_signal(self, number):
