--- a/review/standins-3/acknowledged.py
+++ b/review/standins-3/acknowledged.py
@@ -65,6 +65,8 @@
         2 if nothing was acknowledged or promoted, so that nothing was shown.
         """
         fleet = self._fleet
+        if not self.acknowledged or not fleet.group.promotions:
+            return 2
         lost = 0
         for at_s, name, log in fleet.group.promotions:
             held = {entry.request_id for entry in log}
